--- /dev/null
+++ b/crates/constants/src/constants.rs
@@ -0,0 +1,197 @@
+//! Every constant of the project, with its unit and the reason for its value.
+//!
+//! What a deployment decides (limits, leases, prices, teams) is not here: it comes from the
+//! settings, the catalogue or observation.
+
+// ---- HTTP -------------------------------------------------------------------------------
+
+/// Bytes. The protocol bounds bodies at 64 KiB.
+pub const MAX_BODY: usize = 64 * 1024;
+/// Bytes. Watch and list answers are larger: lists go to 512 KiB, watches have no limit, so
+/// this only stops a runaway peer well before the memory limit.
+pub const MAX_ANSWER: usize = 8 * 1024 * 1024;
+/// Bytes of request line and headers; far above what users, workers or probes send.
+pub const MAX_HEAD: usize = 8 * 1024;
+/// Headers in one head; the same reasoning.
+pub const MAX_HEADERS: usize = 64;
+
+// ---- Connections ------------------------------------------------------------------------
+
+/// ms. An idle server connection is closed after this; users poll every 5 s, workers report
+/// every few, so only forgotten connections reach it.
+pub const IDLE_MS: u64 = 65_000;
+/// ms a client may take to send one whole request once begun: slow senders hold sockets.
+pub const SLOW_MS: u64 = 5_000;
+/// Sockets kept back from accepting, for our own calls to state, cloud, workers and peers.
+pub const RESERVED_SOCKETS: usize = 160;
+/// ms between turns of the timers: a twentieth of a second costs little and bounds lateness.
+pub const TICK_MS: u64 = 50;
+/// Bytes read from a socket at once.
+pub const READ_CHUNK: usize = 16 * 1024;
+/// Bytes of unsent output after which a peer link is cut: it has stopped reading.
+pub const MAX_BACKLOG: usize = 1024 * 1024;
+/// ms between two attempts to reach a peer.
+pub const PEER_REDIAL_MS: u64 = 1_000;
+/// ms between pings on a peer link.
+pub const PEER_PING_MS: u64 = 1_000;
+/// ms without a word after which a peer link counts as dead: three pings.
+pub const PEER_SILENT_MS: u64 = 3_200;
+
+// ---- Admission --------------------------------------------------------------------------
+
+/// Requests in progress that are always admitted: below this, measuring says nothing.
+pub const ADMIT_MIN: f64 = 8.0;
+/// Most requests in progress, whatever the measured times say; bounds memory.
+pub const ADMIT_MAX: f64 = 512.0;
+/// Where the limit starts.
+pub const ADMIT_START: f64 = 64.0;
+/// A measured time above this many times the usual one shrinks the limit.
+pub const ADMIT_TOLERANCE: f64 = 4.0;
+/// ms. Times below this never shrink the limit: they are the state service's ordinary noise.
+pub const ADMIT_FLOOR_MS: f64 = 400.0;
+/// Factor by which the limit shrinks; a tenth is the customary gentle cut.
+pub const ADMIT_CUT: f64 = 0.9;
+/// Weight of a new sample in the usual time.
+pub const ADMIT_WEIGHT: f64 = 0.02;
+/// s told to a client that found the limit reached.
+pub const RETRY_BUSY_S: u32 = 2;
+/// s told to a client when the state service did not answer.
+pub const RETRY_STATE_S: u32 = 1;
+
+// ---- State service ----------------------------------------------------------------------
+
+/// ms before a state call is given up: answers take 10 ms, now and then some hundreds.
+pub const STATE_TIMEOUT_MS: u64 = 1_500;
+/// ms that a watch is held open by the service.
+pub const WATCH_HOLD_MS: u64 = 20_000;
+/// ms on top of that before the watch is taken as dead.
+pub const WATCH_GRACE_MS: u64 = 3_000;
+/// ms between retries of a failed state call; doubled up to the next constant.
+pub const STATE_RETRY_MS: u64 = 200;
+/// ms, the longest pause between retries of a state call.
+pub const STATE_RETRY_MAX_MS: u64 = 1_500;
+/// ms between two read barriers at least: bounds their share of the request budget.
+pub const BARRIER_GAP_MS: u64 = 60;
+/// ms a poll, submission or cancel waits for the state service before 503; users wait 2 s for
+/// a poll and 5 s for a submission.
+pub const POLL_PATIENCE_MS: u64 = 1_600;
+/// ms, the same for submissions and cancels.
+pub const STORE_PATIENCE_MS: u64 = 3_500;
+/// ms without any answer from the state service after which it counts as out of reach.
+pub const STATE_DOWN_MS: u64 = 2_500;
+/// Share of the state service's budgets that the leader may use; the followers share the rest.
+pub const LEADER_SHARE: f64 = 0.7;
+/// Bytes of JSON left free in a transaction for framing.
+pub const TXN_MARGIN: usize = 2 * 1024;
+/// Bytes of JSON in a transaction at most (the protocol's limit).
+pub const TXN_BYTES: usize = 64 * 1024;
+/// Items asked for in one list page.
+pub const LIST_PAGE: usize = 500;
+/// Tasks whose completion one record holds as a bitmap: 8192 bits are 1.4 kB of base64, far
+/// below the smallest value limit.
+pub const DONE_CHUNK: u32 = 8_192;
+/// Placements stored on one machine at most; 32 bytes each keep the record within 8 KiB.
+pub const MACHINE_TASKS: usize = 180;
+
+// ---- Leadership -------------------------------------------------------------------------
+
+/// ms the leader key outlives its last renewal. Long enough for lost packets and late timers
+/// on a few per cent of a core, short enough that a crash costs few seconds.
+pub const LEADER_TTL_MS: u64 = 4_000;
+/// ms between renewals: four tries per life.
+pub const RENEW_MS: u64 = 1_000;
+/// ms of random wait before a node stands for election, so that rarely two do at once.
+pub const ELECT_JITTER_MS: u64 = 150;
+/// Attempts of one term: attempt numbers are term * this + counter, so they never repeat.
+pub const ATTEMPTS_PER_TERM: u64 = 1_000_000;
+
+// ---- Workers ----------------------------------------------------------------------------
+
+/// ms before a direct command is given up.
+pub const DO_TIMEOUT_MS: u64 = 2_500;
+/// ms a relayed report waits for the leader; workers give up after 4 s.
+pub const RELAY_TIMEOUT_MS: u64 = 2_500;
+/// Report periods without a word after which a machine gets no new tasks.
+pub const QUIET_PERIODS: f64 = 2.5;
+/// Part of a worker's lease, without a word, after which a machine counts as lost and is
+/// deleted to free its tasks: the delete is the proof, and costs at most a machine.
+pub const LOST_LEASES: f64 = 1.1;
+/// ms, first wait after a failed start of a task; doubled each time.
+pub const START_RETRY_MS: u64 = 1_000;
+/// ms, longest wait between starts of a task that keeps failing.
+pub const START_RETRY_MAX_MS: u64 = 60_000;
+/// `error` exits on a machine, by different jobs, that make it faulty.
+pub const FAULTY_ERRORS: usize = 2;
+/// s of saving allowed on top of `save_s` when a task is stopped.
+pub const WIND_DOWN_MARGIN_S: f64 = 1.0;
+/// Resources below this are rounding, not room.
+pub const EPSILON: f64 = 1e-6;
+
+// ---- Scheduling (DESIGN: "Its figures are open") ------------------------------------------
+
+/// ms between mappings (DESIGN: each second).
+pub const MAP_MS: u64 = 1_000;
+/// ms between placements of urgent, deadline-free work at the earliest.
+pub const PLACE_MS: u64 = 100;
+/// Tasks held per machine for room freeing next (DESIGN).
+pub const HELD: usize = 2;
+/// Theta: the step of the deferring threshold (DESIGN).
+pub const THETA: f64 = 0.05;
+/// Lambda: weight of new misses in the miss level (the paper's).
+pub const LAMBDA: f64 = 0.9;
+/// Miss level that turns dropping on (the paper's).
+pub const TOGGLE_ON: f64 = 2.0;
+/// Miss level that turns dropping off (the paper's).
+pub const TOGGLE_OFF: f64 = 1.6;
+/// Base of the drop threshold (DESIGN).
+pub const DROP_BASE: f64 = 0.5;
+/// Rho: scale of the skewness term (DESIGN).
+pub const RHO: f64 = 0.1;
+/// Bins of a curve. With `BIN_S` they span 384 s, beyond the usual deadline.
+pub const BINS: usize = 128;
+/// s per bin.
+pub const BIN_S: f64 = 3.0;
+/// Chances closer than this are equal: the curves are no finer.
+pub const CHANCE_STEP: f64 = 0.02;
+/// Quantile factors of the seed around an owner's estimate ("often wrong by half").
+pub const SEED_FACTORS: [f64; 7] = [0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0];
+/// How many seeds one observed run time outweighs.
+pub const OBSERVED_WEIGHT: u64 = 5;
+/// ms, the longest run time a histogram tells apart: a day.
+pub const MAX_RUN_MS: u64 = 86_400_000;
+
+// ---- Fleet ------------------------------------------------------------------------------
+
+/// ms between fleet decisions.
+pub const FLEET_MS: u64 = 2_000;
+/// ms between machine lists.
+pub const LIST_MS: u64 = 6_000;
+/// ms between catalogue reads on the leader: spot prices move slowly.
+pub const CATALOG_MS: u64 = 60_000;
+/// ms before a cloud call is given up.
+pub const CLOUD_TIMEOUT_MS: u64 = 4_000;
+/// ms of pause after the cloud refused or failed a call.
+pub const CLOUD_RETRY_MS: u64 = 1_500;
+/// ms a refused type, zone and kind is left alone at first; doubled to the next constant.
+pub const REFUSED_MS: u64 = 8_000;
+/// ms, the longest pause after refusals.
+pub const REFUSED_MAX_MS: u64 = 60_000;
+/// ms a machine may stand idle before it is returned; the minimum charge is 60 s, and the
+/// next job of a class usually comes within this.
+pub const IDLE_RETURN_MS: u64 = 25_000;
+/// Multiples of the catalogue's boot time after which a booting machine is given up. Usual
+/// boots take up to 1.5 times.
+pub const BOOT_GIVE_UP: f64 = 3.0;
+/// Boot overdue from here: it no longer counts as coming.
+pub const BOOT_OVERDUE: f64 = 1.7;
+/// Machines asked for in one request (the protocol's limit).
+pub const HIRE_MAX: u32 = 50;
+/// Names in one delete request (the protocol's limit).
+pub const DELETE_MAX: usize = 100;
+/// Kept free for urgent work: tasks of the usual urgent size.
+pub const SPARE_TASKS: f64 = 2.0;
+/// Most machines rented in one decision of one kind: keeps a wrong estimate cheap.
+pub const HIRE_STEP: u32 = 8;
+/// Part of the time left to a deadline that the fleet is sized for; the remainder covers late
+/// starts and wrong estimates.
+pub const SLACK_USE: f64 = 0.6;
--- /dev/null
+++ b/crates/sched/src/curve.rs
@@ -0,0 +1,162 @@
+//! Probability mass functions over time from now, on a fixed grid.
+use stonegw_constants::{BINS, BIN_S};
+
+/// Mass per bin; what lies beyond the grid is missing from the sum. Bin `i` stands for the
+/// time `i * BIN_S`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Curve(pub Box<[f32; BINS]>);
+
+fn bin(s: f64) -> usize {
+    (s / BIN_S).round().clamp(0.0, BINS as f64) as usize
+}
+
+impl Curve {
+    pub fn zero() -> Curve {
+        Curve(Box::new([0.0; BINS]))
+    }
+
+    /// All mass at one time.
+    pub fn at(s: f64) -> Curve {
+        let mut c = Curve::zero();
+        if let Some(b) = c.0.get_mut(bin(s.max(0.0))) {
+            *b = 1.0;
+        }
+        c
+    }
+
+    pub fn add(&mut self, s: f64, mass: f64) {
+        if let Some(b) = self.0.get_mut(bin(s.max(0.0))) {
+            *b += mass as f32;
+        }
+    }
+
+    /// The sum of two independent times. Mass past the grid is lost to "too late".
+    pub fn convolve(&self, other: &Curve) -> Curve {
+        let mut out = Curve::zero();
+        for (i, a) in self.0.iter().enumerate() {
+            if *a > 1e-6 {
+                for (o, b) in out.0[i..].iter_mut().zip(other.0.iter()) {
+                    *o += a * b;
+                }
+            }
+        }
+        out
+    }
+
+    /// The later of two independent times.
+    pub fn later(&self, other: &Curve) -> Curve {
+        let mut out = Curve::zero();
+        let (mut a, mut b, mut before) = (0.0, 0.0, 0.0);
+        for i in 0..BINS {
+            a += self.0[i];
+            b += other.0[i];
+            out.0[i] = a * b - before;
+            before = a * b;
+        }
+        out
+    }
+
+    pub fn shift(&self, s: f64) -> Curve {
+        let n = bin(s);
+        let mut out = Curve::zero();
+        if n < BINS {
+            out.0[n..].copy_from_slice(&self.0[..BINS - n]);
+        }
+        out
+    }
+
+    pub fn cumulative(&self) -> Curve {
+        let mut out = self.clone();
+        let mut sum = 0.0;
+        for b in out.0.iter_mut() {
+            sum += *b;
+            *b = sum;
+        }
+        out
+    }
+
+    /// Chance that `self` (a start) plus a run, given by its cumulative curve, ends by `due_s`.
+    /// The paper's shortcut: no full convolution is built.
+    pub fn chance(&self, run_cumulative: &Curve, due_s: f64) -> f64 {
+        if due_s < 0.0 {
+            return 0.0;
+        }
+        // Half a bin is the rounding of `bin`; due times are rounded down to whole bins.
+        let last = ((due_s / BIN_S) as usize).min(BINS - 1);
+        let mut sum = 0.0;
+        for (i, mass) in self.0[..=last].iter().enumerate() {
+            sum += mass * run_cumulative.0[last - i];
+        }
+        f64::from(sum).clamp(0.0, 1.0)
+    }
+
+    /// Mean time; mass beyond the grid counts at its end.
+    pub fn mean(&self) -> f64 {
+        let (mut mass, mut sum) = (0.0, 0.0);
+        for (i, m) in self.0.iter().enumerate() {
+            mass += f64::from(*m);
+            sum += f64::from(*m) * i as f64 * BIN_S;
+        }
+        sum + (1.0 - mass).max(0.0) * BINS as f64 * BIN_S
+    }
+
+    /// Skewness bounded to -1..1 (the paper's `s`).
+    pub fn skewness(&self) -> f64 {
+        let mean = self.mean();
+        let (mut mass, mut second, mut third) = (0.0, 0.0, 0.0);
+        let rest = 1.0 - f64::from(self.0.iter().sum::<f32>());
+        let points = self.0.iter().map(|m| f64::from(*m)).chain([rest.max(0.0)]);
+        for (i, m) in points.enumerate() {
+            let d = i as f64 * BIN_S - mean;
+            mass += m;
+            second += m * d * d;
+            third += m * d * d * d;
+        }
+        if mass <= 0.0 || second <= 1e-9 {
+            return 0.0;
+        }
+        let sigma = (second / mass).sqrt();
+        (third / mass / sigma.powi(3)).clamp(-1.0, 1.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn convolution_and_shortcut_agree() {
+        let (mut a, mut b) = (Curve::zero(), Curve::zero());
+        for (s, m) in [(3.0, 0.25), (9.0, 0.5), (30.0, 0.25)] {
+            a.add(s, m);
+        }
+        for (s, m) in [(6.0, 0.5), (12.0, 0.5)] {
+            b.add(s, m);
+        }
+        let full = a.convolve(&b).cumulative();
+        for due in [0.0, 9.0, 15.0, 21.0, 60.0] {
+            let short = a.chance(&b.cumulative(), due);
+            assert!((short - f64::from(full.0[(due / BIN_S) as usize])).abs() < 1e-6);
+        }
+        assert_eq!(a.chance(&b.cumulative(), -1.0), 0.0);
+    }
+
+    #[test]
+    fn the_later_of_two_is_no_earlier_than_either() {
+        let mut a = Curve::at(6.0);
+        a.0[2] = 0.5;
+        a.add(30.0, 0.5);
+        let l = a.later(&Curve::at(12.0));
+        assert!((l.0[4] - 0.5).abs() < 1e-6 && (l.0[10] - 0.5).abs() < 1e-6);
+        assert!(l.mean() >= a.mean() && l.mean() >= 12.0);
+    }
+
+    #[test]
+    fn a_long_right_tail_is_positive_skew() {
+        let mut c = Curve::zero();
+        c.add(6.0, 0.9);
+        c.add(120.0, 0.1);
+        assert!(c.skewness() > 0.9);
+        assert_eq!(Curve::at(9.0).skewness(), 0.0);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,7 @@
+//! Deadline scheduling with probabilistic pruning, after "Efficient Task Pruning Mechanism to
+//! Improve Robustness of Heterogeneous Computing Systems". Pure: no clock, no I/O. Cost is
+//! bounded by the bins of a curve and by jobs times machines, never by tasks.
+pub mod curve;
+pub mod pam;
+pub mod pruner;
+pub mod runtimes;
--- /dev/null
+++ b/crates/sched/src/pam.rs
@@ -0,0 +1,158 @@
+//! Pruning-aware mapping (PAM): each task picks its best-chance machine, the soonest-finishing
+//! pair goes first. Tasks of a job are alike, so a job stands for all its waiting tasks.
+use crate::curve::Curve;
+use stonegw_constants::{CHANCE_STEP, EPSILON, HELD};
+
+/// A task on a machine's queue as the mapping sees it: when it ends and what it then frees.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    pub end: Curve,
+    pub mean: f64,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory: f64,
+}
+
+impl Slot {
+    pub fn new(end: Curve, cpus: f64, gpus: f64, memory: f64) -> Slot {
+        let mean = end.mean();
+        Slot { end, mean, cpus, gpus, memory }
+    }
+}
+
+/// A machine's queue: free room now, tasks that will free more, and how many are held.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory: f64,
+    pub slots: Vec<Slot>,
+    pub held: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// `None`: room is free now.
+    pub curve: Option<Curve>,
+    used: usize,
+}
+
+impl Queue {
+    pub fn fits_now(&self, cpus: f64, gpus: f64, memory: f64) -> bool {
+        self.cpus + EPSILON >= cpus && self.gpus + EPSILON >= gpus && self.memory + EPSILON >= memory
+    }
+
+    /// When room for such a task will be free: now if there is room and nobody waits for it,
+    /// else when enough of the soonest-ending tasks are gone. `None` if it never will be, or
+    /// if the queue already holds its two.
+    pub fn start(&self, cpus: f64, gpus: f64, memory: f64) -> Option<Start> {
+        if self.fits_now(cpus, gpus, memory) && self.held == 0 {
+            return Some(Start { curve: None, used: 0 });
+        }
+        if self.held >= HELD {
+            return None;
+        }
+        let (mut c, mut g, mut m) = (self.cpus, self.gpus, self.memory);
+        let mut curve: Option<Curve> = None;
+        for (i, slot) in self.slots.iter().enumerate() {
+            c += slot.cpus;
+            g += slot.gpus;
+            m += slot.memory;
+            curve = Some(match curve {
+                None => slot.end.clone(),
+                Some(before) => before.later(&slot.end),
+            });
+            if c + EPSILON >= cpus && g + EPSILON >= gpus && m + EPSILON >= memory {
+                return Some(Start { curve, used: i + 1 });
+            }
+        }
+        None
+    }
+
+    /// Puts a task on the queue: what it waits for is used up, and it ends itself later.
+    pub fn push(&mut self, start: &Start, end: Curve, cpus: f64, gpus: f64, memory: f64) {
+        for slot in self.slots.drain(..start.used) {
+            self.cpus += slot.cpus;
+            self.gpus += slot.gpus;
+            self.memory += slot.memory;
+        }
+        self.cpus -= cpus;
+        self.gpus -= gpus;
+        self.memory -= memory;
+        self.held += usize::from(start.curve.is_some());
+        let slot = Slot::new(end, cpus, gpus, memory);
+        let at = self.slots.partition_point(|s| s.mean <= slot.mean);
+        self.slots.insert(at, slot);
+    }
+}
+
+/// What a task could get on a machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Offer {
+    pub chance: f64,
+    pub finish: f64,
+    /// Free cpus left behind: the tighter fit wins among equals.
+    pub spare: f64,
+}
+
+impl Offer {
+    /// First phase: the better chance for the same task; among equals the sooner, tighter one.
+    pub fn beats(&self, other: &Offer) -> bool {
+        let d = self.chance - other.chance;
+        if d.abs() > CHANCE_STEP {
+            return d > 0.0;
+        }
+        if (self.finish - other.finish).abs() > 1.0 {
+            return self.finish < other.finish;
+        }
+        self.spare < other.spare
+    }
+}
+
+/// Second phase: which job's best offer finishes soonest. `None` if there is none.
+pub fn soonest<T: Copy>(offers: impl Iterator<Item = (T, Offer)>) -> Option<(T, Offer)> {
+    offers.min_by(|a, b| a.1.finish.total_cmp(&b.1.finish))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn busy() -> Queue {
+        let mut q = Queue { cpus: 1.0, memory: 8.0, ..Queue::default() };
+        q.slots.push(Slot::new(Curve::at(12.0), 2.0, 0.0, 4.0));
+        q.slots.push(Slot::new(Curve::at(30.0), 1.0, 0.0, 4.0));
+        q
+    }
+
+    #[test]
+    fn a_task_waits_for_as_much_room_as_it_needs() {
+        let q = busy();
+        assert!(q.start(1.0, 0.0, 1.0).unwrap().curve.is_none());
+        assert_eq!(q.start(2.0, 0.0, 1.0).unwrap().curve.unwrap().mean(), 12.0);
+        assert_eq!(q.start(4.0, 0.0, 1.0).unwrap().curve.unwrap().mean(), 30.0);
+        assert!(q.start(5.0, 0.0, 1.0).is_none());
+    }
+
+    #[test]
+    fn two_are_held_and_no_more() {
+        let mut q = busy();
+        for expected in [12.0, 30.0] {
+            let s = q.start(2.0, 0.0, 1.0).unwrap();
+            assert_eq!(s.curve.as_ref().unwrap().mean(), expected);
+            let end = s.curve.clone().unwrap().shift(60.0);
+            q.push(&s, end, 2.0, 0.0, 1.0);
+        }
+        assert!(q.start(2.0, 0.0, 1.0).is_none());
+    }
+
+    #[test]
+    fn best_chance_first_then_soonest_finish() {
+        let (a, b) = (
+            Offer { chance: 0.9, finish: 50.0, spare: 0.0 },
+            Offer { chance: 0.5, finish: 10.0, spare: 0.0 },
+        );
+        assert!(a.beats(&b) && !b.beats(&a));
+        assert_eq!(soonest([(1, a), (2, b)].into_iter()).unwrap().0, 2);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/pruner.rs
@@ -0,0 +1,90 @@
+//! The pruner: deferring threshold, overload toggle and drop threshold.
+use stonegw_constants::{DROP_BASE, LAMBDA, RHO, THETA, TOGGLE_OFF, TOGGLE_ON};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Toggle {
+    Off,
+    On,
+}
+
+#[derive(Clone, Debug)]
+pub struct Pruner {
+    pub deferring: f64,
+    pub miss_level: f64,
+    pub toggle: Toggle,
+}
+
+impl Default for Pruner {
+    fn default() -> Self {
+        Pruner {
+            deferring: DROP_BASE,
+            miss_level: 0.0,
+            toggle: Toggle::Off,
+        }
+    }
+}
+
+impl Pruner {
+    /// One mapping: `misses` tasks missed their deadlines since the last one.
+    pub fn count_misses(&mut self, misses: usize) {
+        self.miss_level = LAMBDA * misses as f64 + (1.0 - LAMBDA) * self.miss_level;
+        self.set_toggle(match self.toggle {
+            Toggle::Off if self.miss_level >= TOGGLE_ON => Toggle::On,
+            Toggle::On if self.miss_level <= TOGGLE_OFF => Toggle::Off,
+            same => same,
+        });
+    }
+
+    fn set_toggle(&mut self, to: Toggle) {
+        self.toggle = to;
+    }
+
+    /// `robustness`: mean chance of all running and held tasks; `passing`: waiting tasks whose
+    /// best chance reaches the threshold.
+    pub fn adjust(&mut self, waiting: usize, free_slots: usize, passing: usize, robustness: f64) {
+        let next = if free_slots > waiting || passing == 0 {
+            self.deferring - THETA
+        } else {
+            robustness - THETA
+        };
+        self.deferring = next.clamp(0.0, 1.0);
+    }
+
+    /// Threshold below which a held task is dropped while the toggle is on. `position` counts
+    /// from the head of the machine's queue.
+    pub fn drop_threshold(skewness: f64, position: usize) -> f64 {
+        DROP_BASE + -skewness.clamp(-1.0, 1.0) * RHO / (position as f64 + 1.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_toggle_has_hysteresis() {
+        let mut p = Pruner::default();
+        p.count_misses(2); // 1.8: not yet
+        assert_eq!(p.toggle, Toggle::Off);
+        p.count_misses(2); // 1.98: not yet
+        p.count_misses(3); // 2.9: on
+        assert_eq!(p.toggle, Toggle::On);
+        p.count_misses(2); // 2.09: stays on
+        assert_eq!(p.toggle, Toggle::On);
+        p.count_misses(1); // 1.1: off
+        assert_eq!(p.toggle, Toggle::Off);
+    }
+
+    #[test]
+    fn the_deferring_threshold_follows_the_design() {
+        let mut p = Pruner::default();
+        p.adjust(1, 5, 1, 0.9); // free slots outnumber the waiting
+        assert!((p.deferring - 0.45).abs() < 1e-9);
+        p.adjust(9, 1, 3, 0.9);
+        assert!((p.deferring - 0.85).abs() < 1e-9);
+        p.adjust(9, 1, 0, 0.9); // none pass
+        assert!((p.deferring - 0.80).abs() < 1e-9);
+        assert!(Pruner::drop_threshold(1.0, 0) < Pruner::drop_threshold(1.0, 3));
+        assert!(Pruner::drop_threshold(-1.0, 0) > 0.59);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/runtimes.rs
@@ -0,0 +1,119 @@
+//! Run-time histograms per job and machine type, learned from finished reports and seeded by
+//! the owner's estimate.
+use crate::curve::Curve;
+use hdrhistogram::Histogram;
+use stonegw_constants::{MAX_RUN_MS, OBSERVED_WEIGHT, SEED_FACTORS};
+
+#[derive(Debug)]
+pub struct RunTimes {
+    histogram: Histogram<u32>,
+    run: Curve,
+    cumulative: Curve,
+    fresh: bool,
+    pub observed: u32,
+}
+
+fn ms(s: f64) -> u64 {
+    ((s * 1e3) as u64).clamp(1, MAX_RUN_MS)
+}
+
+impl RunTimes {
+    /// `scale` corrects the estimate by what other finished work showed; 1 if nothing did.
+    pub fn seeded(estimate_s: f64, scale: f64) -> RunTimes {
+        let mut histogram = Histogram::new_with_bounds(1, MAX_RUN_MS, 2).expect("valid bounds");
+        for f in SEED_FACTORS {
+            histogram.saturating_record(ms(estimate_s * scale * f));
+        }
+        RunTimes {
+            histogram,
+            run: Curve::zero(),
+            cumulative: Curve::zero(),
+            fresh: false,
+            observed: 0,
+        }
+    }
+
+    pub fn record(&mut self, run_s: f64) {
+        self.histogram.saturating_record_n(ms(run_s), OBSERVED_WEIGHT as u32 as u64 as _);
+        self.observed += 1;
+        self.fresh = false;
+    }
+
+    fn refresh(&mut self) {
+        if self.fresh {
+            return;
+        }
+        self.run = Curve::zero();
+        let total = self.histogram.len() as f64;
+        for v in self.histogram.iter_recorded() {
+            self.run.add(
+                v.value_iterated_to() as f64 / 1e3,
+                v.count_at_value() as f64 / total,
+            );
+        }
+        self.cumulative = self.run.cumulative();
+        self.fresh = true;
+    }
+
+    pub fn run(&mut self) -> &Curve {
+        self.refresh();
+        &self.run
+    }
+
+    pub fn cumulative(&mut self) -> &Curve {
+        self.refresh();
+        &self.cumulative
+    }
+
+    pub fn mean_s(&self) -> f64 {
+        self.histogram.mean() / 1e3
+    }
+
+    /// What is left of a run that has lasted `elapsed_s`: the part of the histogram above it.
+    /// A run longer than anything seen may end any moment.
+    pub fn left(&mut self, elapsed_s: f64) -> Curve {
+        let mut out = Curve::zero();
+        let (mut mass, floor) = (0.0, ms(elapsed_s.max(0.001)));
+        for v in self.histogram.iter_recorded() {
+            if v.value_iterated_to() > floor {
+                mass += v.count_at_value() as f64;
+            }
+        }
+        if mass <= 0.0 {
+            return Curve::at(elapsed_s * 0.2);
+        }
+        for v in self.histogram.iter_recorded() {
+            if v.value_iterated_to() > floor {
+                let s = v.value_iterated_to() as f64 / 1e3 - elapsed_s;
+                out.add(s, v.count_at_value() as f64 / mass);
+            }
+        }
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn observations_outweigh_a_wrong_estimate() {
+        let mut r = RunTimes::seeded(100.0, 1.0);
+        assert!((r.mean_s() - 110.0).abs() < 15.0);
+        for _ in 0..20 {
+            r.record(30.0);
+        }
+        assert!(r.mean_s() < 45.0);
+        assert!(r.cumulative().0[12] > 0.85);
+    }
+
+    #[test]
+    fn what_is_left_forgets_what_has_passed() {
+        let mut r = RunTimes::seeded(100.0, 1.0);
+        assert!(r.left(0.0).mean() > 100.0);
+        let l = r.left(140.0);
+        assert!(l.mean() < 50.0);
+        assert!((l.0.iter().sum::<f32>() - 1.0).abs() < 1e-3);
+        assert!(r.left(1000.0).mean() > 100.0);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,202 @@
+//! Frames between controllers: a fixed header, a fixed body per kind, then raw bytes where the
+//! kind carries any. All numbers are little-endian.
+use zerocopy::little_endian::{U16, U32, U64};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
+
+pub const MAGIC: u32 = 0x5747_5453;
+pub const VERSION: u16 = 1;
+/// Bytes after the header at most: a report or its answer and some.
+pub const MAX_FRAME: usize = 96 * 1024;
+
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug)]
+#[repr(C)]
+pub struct Header {
+    pub magic: U32,
+    pub version: U16,
+    pub kind: U16,
+    pub len: U32,
+}
+
+pub const HEADER: usize = size_of::<Header>();
+
+/// Sent on connecting and every second: who speaks, the highest term known, how it is.
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq)]
+#[repr(C)]
+pub struct Hello {
+    pub term: U64,
+    pub leads: u8,
+    pub state_ok: u8,
+    pub name: [u8; 30],
+}
+
+/// Head of a relayed report or its answer; the message body follows.
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq)]
+#[repr(C)]
+pub struct Relay {
+    pub request: U64,
+    pub status: U16,
+}
+
+/// Counts for display of one job; a frame carries any number of these.
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq)]
+#[repr(C)]
+pub struct Counts {
+    pub job: [u8; 24],
+    pub done: U32,
+    pub running: U32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Frame {
+    Hello(Hello),
+    Report { request: u64, body: Vec<u8> },
+    Answer { request: u64, status: u16, body: Vec<u8> },
+    Counts(Vec<Counts>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameError {
+    Magic,
+    Version,
+    Length,
+    Kind,
+}
+
+const HELLO: u16 = 1;
+const REPORT: u16 = 2;
+const ANSWER: u16 = 3;
+const COUNTS: u16 = 4;
+
+pub fn name<const N: usize>(text: &str) -> [u8; N] {
+    let mut out = [0; N];
+    let n = text.len().min(N);
+    out[..n].copy_from_slice(&text.as_bytes()[..n]);
+    out
+}
+
+pub fn text(name: &[u8]) -> &str {
+    let end = name.iter().position(|b| *b == 0).unwrap_or(name.len());
+    std::str::from_utf8(&name[..end]).unwrap_or("")
+}
+
+impl Frame {
+    pub fn write(&self, out: &mut Vec<u8>) {
+        let at = out.len();
+        out.resize(at + HEADER, 0);
+        let kind = match self {
+            Frame::Hello(h) => {
+                out.extend_from_slice(h.as_bytes());
+                HELLO
+            }
+            Frame::Report { request, body } => {
+                let head = Relay { request: (*request).into(), status: 0.into() };
+                out.extend_from_slice(head.as_bytes());
+                out.extend_from_slice(body);
+                REPORT
+            }
+            Frame::Answer { request, status, body } => {
+                let head = Relay { request: (*request).into(), status: (*status).into() };
+                out.extend_from_slice(head.as_bytes());
+                out.extend_from_slice(body);
+                ANSWER
+            }
+            Frame::Counts(list) => {
+                out.extend_from_slice(list.as_bytes());
+                COUNTS
+            }
+        };
+        let head = Header {
+            magic: MAGIC.into(),
+            version: VERSION.into(),
+            kind: kind.into(),
+            len: ((out.len() - at - HEADER) as u32).into(),
+        };
+        out[at..at + HEADER].copy_from_slice(head.as_bytes());
+    }
+
+    /// Returns the frame and how many bytes it took, or `None` until it is whole.
+    pub fn parse(buf: &[u8]) -> Result<Option<(Frame, usize)>, FrameError> {
+        let Ok((head, rest)) = Header::ref_from_prefix(buf) else {
+            return Ok(None);
+        };
+        if head.magic.get() != MAGIC {
+            return Err(FrameError::Magic);
+        }
+        if head.version.get() != VERSION {
+            return Err(FrameError::Version);
+        }
+        let len = head.len.get() as usize;
+        if len > MAX_FRAME {
+            return Err(FrameError::Length);
+        }
+        if !(HELLO..=COUNTS).contains(&head.kind.get()) {
+            return Err(FrameError::Kind);
+        }
+        if rest.len() < len {
+            return Ok(None);
+        }
+        let body = &rest[..len];
+        let frame = match head.kind.get() {
+            HELLO => Frame::Hello(Hello::read_from_bytes(body).map_err(|_| FrameError::Length)?),
+            COUNTS => {
+                let list = <[Counts]>::ref_from_bytes(body).map_err(|_| FrameError::Length)?;
+                Frame::Counts(list.to_vec())
+            }
+            kind => {
+                let (r, body) = Relay::ref_from_prefix(body).map_err(|_| FrameError::Length)?;
+                let (request, body) = (r.request.get(), body.to_vec());
+                if kind == REPORT {
+                    Frame::Report { request, body }
+                } else {
+                    Frame::Answer { request, status: r.status.get(), body }
+                }
+            }
+        };
+        Ok(Some((frame, HEADER + len)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn samples() -> Vec<Frame> {
+        let counts = Counts { job: name("run-1"), done: 3.into(), running: 4.into() };
+        vec![
+            Frame::Hello(Hello { term: 7.into(), leads: 1, state_ok: 0, name: name("hearth-1") }),
+            Frame::Report { request: 9, body: vec![1, 2, 3] },
+            Frame::Answer { request: 9, status: 200, body: vec![] },
+            Frame::Counts(vec![counts, counts]),
+        ]
+    }
+
+    #[test]
+    fn frames_split_at_every_byte_parse_the_same() {
+        for frame in samples() {
+            let mut raw = Vec::new();
+            frame.write(&mut raw);
+            assert_eq!(Frame::parse(&raw), Ok(Some((frame, raw.len()))));
+            for cut in 0..raw.len() {
+                assert_eq!(Frame::parse(&raw[..cut]), Ok(None), "cut at {cut}");
+            }
+        }
+    }
+
+    #[test]
+    fn spoilt_frames_are_refused() {
+        let mut raw = Vec::new();
+        samples()[0].write(&mut raw);
+        for (at, to, error) in [
+            (0, 0, FrameError::Magic),
+            (4, 9, FrameError::Version),
+            (6, 99, FrameError::Kind),
+            (6, 0, FrameError::Kind),
+            (8, 1, FrameError::Length),
+            (10, 0xff, FrameError::Length),
+        ] {
+            let mut bad = raw.clone();
+            bad[at] = to;
+            assert_eq!(Frame::parse(&bad), Err(error), "byte {at}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http.rs
@@ -0,0 +1,281 @@
+//! HTTP/1.1 as far as the protocol needs it: no pipelining, no transfer encodings. Parsing is
+//! incremental: feed what has arrived, get `None` until a whole message stands in the buffer.
+use stonegw_constants::{MAX_HEAD, MAX_HEADERS};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HttpError {
+    /// 400
+    Malformed,
+    /// 431
+    HeadTooLarge,
+    /// 413
+    BodyTooLarge,
+    /// 501: a transfer encoding
+    Encoding,
+    /// 411: a body method without a length
+    NoLength,
+}
+
+impl HttpError {
+    pub fn status(self) -> u16 {
+        match self {
+            HttpError::Malformed => 400,
+            HttpError::HeadTooLarge => 431,
+            HttpError::BodyTooLarge => 413,
+            HttpError::Encoding => 501,
+            HttpError::NoLength => 411,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub close: bool,
+    pub body: Vec<u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    pub close: bool,
+    pub body: Vec<u8>,
+}
+
+struct Head<'a> {
+    first: &'a str,
+    len: usize,
+    body: Option<usize>,
+    close: bool,
+    http10: bool,
+}
+
+fn head<'a>(buf: &'a [u8], max_body: usize) -> Result<Option<Head<'a>>, HttpError> {
+    let window = &buf[..buf.len().min(MAX_HEAD)];
+    let Some(end) = window.windows(4).position(|w| w == b"\r\n\r\n") else {
+        return if buf.len() >= MAX_HEAD {
+            Err(HttpError::HeadTooLarge)
+        } else {
+            Ok(None)
+        };
+    };
+    let text = std::str::from_utf8(&buf[..end]).map_err(|_| HttpError::Malformed)?;
+    let mut lines = text.split("\r\n");
+    let first = lines.next().unwrap_or("");
+    if first.bytes().any(|b| b < b' ' || b == 0x7f) {
+        return Err(HttpError::Malformed);
+    }
+    let mut out = Head {
+        first,
+        len: end + 4,
+        body: None,
+        close: false,
+        http10: first.contains("HTTP/1.0"),
+    };
+    for (n, line) in lines.enumerate() {
+        if n >= MAX_HEADERS {
+            return Err(HttpError::HeadTooLarge);
+        }
+        let (name, value) = line.split_once(':').ok_or(HttpError::Malformed)?;
+        let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+        if name.is_empty() || !name.bytes().all(token) {
+            return Err(HttpError::Malformed);
+        }
+        let value = value.trim_matches([' ', '\t']);
+        if value.bytes().any(|b| (b < b' ' && b != b'\t') || b == 0x7f) {
+            return Err(HttpError::Malformed);
+        }
+        if name.eq_ignore_ascii_case("content-length") {
+            if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
+                return Err(HttpError::Malformed);
+            }
+            let n: usize = value.parse().map_err(|_| HttpError::BodyTooLarge)?;
+            if out.body.is_some_and(|old| old != n) {
+                return Err(HttpError::Malformed);
+            }
+            if n > max_body {
+                return Err(HttpError::BodyTooLarge);
+            }
+            out.body = Some(n);
+        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(HttpError::Encoding);
+        } else if name.eq_ignore_ascii_case("connection") {
+            out.close |= value
+                .split(',')
+                .any(|t| t.trim().eq_ignore_ascii_case("close"));
+        }
+    }
+    out.close |= out.http10;
+    Ok(Some(out))
+}
+
+/// Returns the request and how many bytes it took.
+pub fn parse_request(
+    buf: &[u8],
+    max_body: usize,
+) -> Result<Option<(Request, usize)>, HttpError> {
+    let Some(h) = head(buf, max_body)? else {
+        return Ok(None);
+    };
+    let mut parts = h.first.split(' ');
+    let (method, path, version) = match (parts.next(), parts.next(), parts.next(), parts.next()) {
+        (Some(m), Some(p), Some(v), None) => (m, p, v),
+        _ => return Err(HttpError::Malformed),
+    };
+    if method.is_empty()
+        || !method.bytes().all(|b| b.is_ascii_uppercase())
+        || !path.starts_with('/')
+        || !matches!(version, "HTTP/1.1" | "HTTP/1.0")
+    {
+        return Err(HttpError::Malformed);
+    }
+    if h.body.is_none() && matches!(method, "POST" | "PUT" | "PATCH") {
+        return Err(HttpError::NoLength);
+    }
+    let total = h.len + h.body.unwrap_or(0);
+    if buf.len() < total {
+        return Ok(None);
+    }
+    let request = Request {
+        method: method.into(),
+        path: path.into(),
+        close: h.close,
+        body: buf[h.len..total].to_vec(),
+    };
+    Ok(Some((request, total)))
+}
+
+/// Returns the response and how many bytes it took. A missing length means an empty body.
+pub fn parse_response(
+    buf: &[u8],
+    max_body: usize,
+) -> Result<Option<(Response, usize)>, HttpError> {
+    let Some(h) = head(buf, max_body)? else {
+        return Ok(None);
+    };
+    let rest = h
+        .first
+        .strip_prefix("HTTP/1.1 ")
+        .or_else(|| h.first.strip_prefix("HTTP/1.0 "))
+        .ok_or(HttpError::Malformed)?;
+    let code = rest.get(..3).ok_or(HttpError::Malformed)?;
+    if rest.as_bytes().get(3).is_some_and(|b| *b != b' ')
+        || !code.bytes().all(|b| b.is_ascii_digit())
+    {
+        return Err(HttpError::Malformed);
+    }
+    let status: u16 = code.parse().map_err(|_| HttpError::Malformed)?;
+    let total = h.len + h.body.unwrap_or(0);
+    if buf.len() < total {
+        return Ok(None);
+    }
+    let response = Response {
+        status,
+        close: h.close,
+        body: buf[h.len..total].to_vec(),
+    };
+    Ok(Some((response, total)))
+}
+
+pub fn write_request(out: &mut Vec<u8>, method: &str, host: &str, path: &str, body: &[u8]) {
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(body);
+}
+
+pub fn write_response(
+    out: &mut Vec<u8>,
+    status: u16,
+    retry_after_s: Option<u32>,
+    close: bool,
+    body: &[u8],
+) {
+    let reason = match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        _ => "Unknown",
+    };
+    let mut head = format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n",
+        body.len()
+    );
+    if let Some(s) = retry_after_s {
+        head.push_str(&format!("Retry-After: {s}\r\n"));
+    }
+    if close {
+        head.push_str("Connection: close\r\n");
+    }
+    head.push_str("\r\n");
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(body);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_request_split_at_every_byte_parses_the_same() {
+        let mut raw = Vec::new();
+        write_request(&mut raw, "POST", "h:1", "/submissions", b"\x81\xa1a\x01");
+        let whole = parse_request(&raw, 100).unwrap().unwrap();
+        assert_eq!(whole.1, raw.len());
+        assert_eq!(whole.0.body, b"\x81\xa1a\x01");
+        for cut in 0..raw.len() {
+            assert_eq!(parse_request(&raw[..cut], 100), Ok(None), "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn a_response_split_at_every_byte_parses_the_same() {
+        let mut raw = Vec::new();
+        write_response(&mut raw, 503, Some(2), true, b"abc");
+        let (r, n) = parse_response(&raw, 100).unwrap().unwrap();
+        assert_eq!((r.status, r.close, r.body.as_slice(), n), (503, true, &b"abc"[..], raw.len()));
+        for cut in 0..raw.len() {
+            assert_eq!(parse_response(&raw[..cut], 100), Ok(None), "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn bad_heads_get_their_status() {
+        let long = format!("GET / HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(MAX_HEAD));
+        let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MAX_HEADERS + 1));
+        for (raw, status) in [
+            ("GET /\r\n\r\n", 400),
+            ("get / HTTP/1.1\r\n\r\n", 400),
+            ("GET x HTTP/1.1\r\n\r\n", 400),
+            ("GET / HTTP/2.0\r\n\r\n", 400),
+            ("GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+            ("GET / HTTP/1.1\r\n A: folded\r\n\r\n", 400),
+            ("GET / HTTP/1.1\r\nContent-Length: +4\r\n\r\n", 400),
+            ("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+            ("POST / HTTP/1.1\r\n\r\n", 411),
+            ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
+            ("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", 413),
+            ("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 413),
+            (&long, 431),
+            (&many, 431),
+        ] {
+            let got = parse_request(raw.as_bytes(), 100).map_err(HttpError::status);
+            assert_eq!(got, Err(status), "{raw:.60}");
+        }
+        assert!(parse_request(b"\xff\xfe / HTTP/1.1\r\n\r\n", 9).is_err());
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,4 @@
+//! Wire formats of stonegw. No I/O: clients can use this crate as well.
+pub mod frame;
+pub mod http;
+pub mod msg;
