--- /dev/null
+++ b/crates/control/src/api.rs
@@ -0,0 +1,67 @@
+//! What goes into the core and what comes out.
+use stonegw_wire::frame::Frame;
+use stonegw_wire::http::Request;
+
+/// Milliseconds of the steady clock, from any fixed point.
+pub type Ms = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Now {
+    pub ms: Ms,
+    /// Time of day in ms; off by no more than the bound in the settings.
+    pub wall_ms: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Target {
+    State,
+    Cloud,
+    Worker(String),
+}
+
+/// A link between controllers: one that we dialled, or one that was dialled to us.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Link {
+    Out(usize),
+    In(u64),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// The request surely never left.
+    NotSent,
+    /// It may have been carried out, or may yet be.
+    Unknown,
+}
+
+pub type CallResult = Result<(u16, Vec<u8>), CallError>;
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Start,
+    Tick,
+    Request { id: u64, request: Request },
+    CallDone { call: u64, result: CallResult },
+    Frame { from: Link, frame: Frame },
+    LinkUp(Link),
+    LinkDown(Link),
+}
+
+#[derive(Clone, Debug)]
+pub enum Action {
+    Reply {
+        id: u64,
+        status: u16,
+        retry_after_s: Option<u32>,
+        body: Vec<u8>,
+    },
+    Call {
+        call: u64,
+        target: Target,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    },
+    Send { to: Link, frame: Frame },
+}
--- /dev/null
+++ b/crates/control/src/fleet.rs
@@ -0,0 +1,589 @@
+//! Renting and returning machines. What is wanted follows from the work at hand, the live
+//! catalogue and the refusals observed; names of requests carry the term and are never reused.
+use crate::api::{CallError, CallResult, Ms, Target};
+use crate::leader::{Ctx, Leader};
+use crate::ledger::{team_usage, Life, Machine, Phase};
+use crate::node::describe;
+use crate::settings::Bucket;
+use std::collections::{HashMap, HashSet};
+use stonegw_constants as k;
+use stonegw_wire::msg::{
+    decode, encode, Catalog, Hire, JobKind, JobSpec, ListedMachine, MachineList, MachineState,
+    MachineType, Machines, Priority,
+};
+
+#[derive(Debug)]
+pub enum FleetCall {
+    Catalog,
+    List,
+    Hire(u64),
+    Delete(Vec<String>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum HireState {
+    Due { at: Ms },
+    Sent,
+}
+
+#[derive(Debug)]
+struct Renting {
+    number: u64,
+    hire: Hire,
+    state: HireState,
+    /// An answer may be lost: the same request must be repeated until one comes.
+    doubt: bool,
+}
+
+pub struct Fleet {
+    term: u64,
+    decide_at: Ms,
+    list_at: Ms,
+    listing: Option<Vec<ListedMachine>>,
+    list_asked: bool,
+    catalog_at: Ms,
+    catalog_asked: bool,
+    pause_until: Ms,
+    budget: Option<Bucket>,
+    next_hire: u64,
+    renting: Vec<Renting>,
+    /// Type, zone and kind that was refused: until when, and the wait after that.
+    refused: HashMap<(String, String, bool), (Ms, u64)>,
+    /// The latest urgent service seen, the size that spare room is kept for.
+    pub usual: Option<JobSpec>,
+}
+
+/// Room as the sizing sees it.
+struct Bin {
+    kind: String,
+    zone: String,
+    spot: bool,
+    free: (f64, f64, f64),
+}
+
+impl Fleet {
+    pub fn new(term: u64, now: Ms) -> Fleet {
+        Fleet {
+            term,
+            decide_at: now,
+            list_at: now,
+            listing: None,
+            list_asked: false,
+            catalog_at: now + k::CATALOG_MS,
+            catalog_asked: false,
+            pause_until: 0,
+            budget: None,
+            next_hire: 0,
+            renting: vec![],
+            refused: HashMap::new(),
+            usual: None,
+        }
+    }
+}
+
+fn fits(free: (f64, f64, f64), s: &JobSpec) -> bool {
+    free.0 + k::EPSILON >= s.cpus
+        && free.1 + k::EPSILON >= s.gpus
+        && free.2 + k::EPSILON >= s.memory_gb
+}
+
+/// How many tasks of a kind a fresh machine takes.
+fn per_machine(t: &MachineType, s: &JobSpec) -> u32 {
+    let each = |have: f64, need: f64| {
+        if need > k::EPSILON {
+            (have + k::EPSILON) / need
+        } else {
+            f64::MAX
+        }
+    };
+    each(t.cpus, s.cpus)
+        .min(each(t.gpus, s.gpus))
+        .min(each(t.memory_gb, s.memory_gb))
+        .min(1e6) as u32
+}
+
+impl Leader {
+    pub fn run_fleet(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.ms;
+        if self.fleet.budget.is_none() {
+            let rps = ctx.set.cloud_rps;
+            self.fleet.budget = Some(Bucket::new(rps * 0.8, (rps * 1.6).max(1.0)));
+        }
+        if now >= self.fleet.decide_at {
+            self.fleet.decide_at = now + k::FLEET_MS;
+            self.return_idle(ctx);
+            self.decide(ctx);
+        }
+        if now < self.fleet.pause_until {
+            return;
+        }
+        self.delete(ctx);
+        self.hire(ctx);
+        if now >= self.fleet.list_at && !self.fleet.list_asked && self.cloud(now) {
+            self.fleet.list_asked = true;
+            let mut path = "/hosts?limit=500".to_owned();
+            if let Some(last) = self.fleet.listing.as_ref().and_then(|l| l.last()) {
+                path.push_str(&format!("&since={}", last.id));
+            }
+            let call = crate::leader::Call::Fleet(FleetCall::List);
+            ctx.call(call, Target::Cloud, "GET", path, vec![], k::CLOUD_TIMEOUT_MS);
+        }
+        if now >= self.fleet.catalog_at && !self.fleet.catalog_asked && self.cloud(now) {
+            self.fleet.catalog_asked = true;
+            let call = crate::leader::Call::Fleet(FleetCall::Catalog);
+            ctx.call(call, Target::Cloud, "GET", "/catalog".into(), vec![], k::CLOUD_TIMEOUT_MS);
+        }
+    }
+
+    fn cloud(&mut self, now: Ms) -> bool {
+        self.fleet.budget.as_mut().is_some_and(|b| b.take(now, 1.0))
+    }
+
+    // ---- Returning --------------------------------------------------------------------------
+
+    fn return_idle(&mut self, ctx: &Ctx) {
+        let now = ctx.now.ms;
+        // Room that urgent services could have, beyond what they use.
+        let mut spare = self.spare_rooms();
+        let wanted = ctx.set.tuning.spare_tasks;
+        let usual = self.fleet.usual.clone();
+        let types = self.catalog.types.clone();
+        for m in self.machines.values_mut() {
+            let unsettled = m
+                .placements
+                .iter()
+                .any(|p| matches!(p.phase, Phase::Exited { settled: false, .. }));
+            match m.life {
+                Life::Booting => {
+                    let boot = types.iter().find(|t| t.name == m.kind).map_or(60.0, |t| t.boot_s);
+                    let age = now.saturating_sub(m.born) as f64 / 1e3;
+                    if age > boot * k::BOOT_GIVE_UP && m.heard.is_none() && m.placements.is_empty() {
+                        log::warn!("machine {} never came up", m.id);
+                        m.set_life(Life::Deleting);
+                    }
+                }
+                Life::Draining if m.idle() && !unsettled => m.set_life(Life::Deleting),
+                Life::Up if m.idle() && !unsettled => {
+                    let since = *m.idle_since.get_or_insert(now);
+                    let room = match (&usual, m.spot) {
+                        (Some(s), false) => types
+                            .iter()
+                            .find(|t| t.name == m.kind)
+                            .map_or(0.0, |t| f64::from(per_machine(t, s))),
+                        _ => 0.0,
+                    };
+                    let kept = room > 0.0 && spare - room < wanted;
+                    if now >= since + ctx.set.tuning.idle_return_ms && !kept {
+                        spare -= room;
+                        m.set_life(Life::Deleting);
+                    }
+                }
+                Life::Up => m.idle_since = None,
+                _ => {}
+            }
+        }
+    }
+
+    /// How many usual urgent tasks could run beside those that do, pushing lesser work aside.
+    fn spare_rooms(&self) -> f64 {
+        let Some(s) = &self.fleet.usual else {
+            return 0.0;
+        };
+        let mut sum = 0.0;
+        for m in self.machines.values() {
+            if m.spot || !matches!(m.life, Life::Up | Life::Booting) {
+                continue;
+            }
+            let Some(t) = self.kind(&m.kind) else { continue };
+            let (mut c, mut mem) = (t.cpus, t.memory_gb);
+            for p in m.placements.iter().filter(|p| p.present()) {
+                let lesser = self
+                    .works
+                    .get(&p.job)
+                    .is_some_and(|w| w.spec.priority < s.priority);
+                if !lesser {
+                    c -= p.cpus;
+                    mem -= p.memory;
+                }
+            }
+            let n = (c + k::EPSILON) / s.cpus.max(0.01);
+            sum += n.min((mem + k::EPSILON) / s.memory_gb.max(0.01)).floor().max(0.0);
+        }
+        sum
+    }
+
+    fn delete(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.ms;
+        let again = k::CLOUD_TIMEOUT_MS + k::CLOUD_RETRY_MS;
+        let ids: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Deleting && (m.delete_sent == 0 || now >= m.delete_sent + again))
+            .map(|m| m.id.clone())
+            .take(k::DELETE_MAX)
+            .collect();
+        if ids.is_empty() || !self.cloud(now) {
+            return;
+        }
+        for id in &ids {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.delete_sent = now;
+            }
+        }
+        let body = encode(&Machines { machines: ids.clone() });
+        let call = crate::leader::Call::Fleet(FleetCall::Delete(ids));
+        ctx.call(call, Target::Cloud, "POST", "/hosts/delete".into(), body, k::CLOUD_TIMEOUT_MS);
+    }
+
+    // ---- Renting ----------------------------------------------------------------------------
+
+    fn decide(&mut self, ctx: &Ctx) {
+        let now = ctx.now.ms;
+        let mut bins: Vec<Bin> = vec![];
+        for m in self.machines.values() {
+            let Some(t) = self.kind(&m.kind) else { continue };
+            let age = now.saturating_sub(m.born) as f64 / 1e3;
+            let coming = m.life == Life::Booting && age < t.boot_s * k::BOOT_OVERDUE;
+            let up = m.life == Life::Up && !m.quiet(now, ctx.set.report_s);
+            if coming || up {
+                bins.push(Bin {
+                    kind: m.kind.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    free: m.free(t),
+                });
+            }
+        }
+        for r in &self.fleet.renting {
+            if let Some(t) = self.kind(&r.hire.machine_type) {
+                for _ in 0..r.hire.count {
+                    bins.push(Bin {
+                        kind: t.name.clone(),
+                        zone: r.hire.zone.clone(),
+                        spot: r.hire.spot,
+                        free: (t.cpus, t.gpus, t.memory_gb),
+                    });
+                }
+            }
+        }
+        let usage = team_usage(&self.machines);
+        let held: HashMap<&str, usize> =
+            self.machines
+                .values()
+                .flat_map(|m| &m.held)
+                .fold(HashMap::new(), |mut h, (job, _)| {
+                    *h.entry(job.as_str()).or_default() += 1;
+                    h
+                });
+        // Urgent first, then by deadline.
+        let mut wants: Vec<(Priority, f64, JobSpec, usize)> = vec![];
+        for (id, w) in &self.works {
+            let s = &w.spec;
+            if s.kind == JobKind::Service && s.priority >= Priority::High {
+                self.fleet.usual = Some(s.clone());
+            }
+            let mut n = w.pending.len() + held.get(id.as_str()).copied().unwrap_or(0);
+            if n == 0 || w.ending || w.failures > 8 {
+                continue;
+            }
+            if let Some(t) = ctx.set.team(&s.team) {
+                let used = usage.get(&s.team).copied().unwrap_or_default().0;
+                n = n.min(((t.cpus_max - used).max(0.0) / s.cpus.max(0.01)) as usize);
+            }
+            let due = w.due_s(ctx.now.wall_ms).unwrap_or(0.0);
+            if due > 0.0 {
+                // As many side by side as lets the last finish within part of the time left.
+                let run = self.sched.mean_s(s).max(1.0);
+                let boot = self.catalog.types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
+                let rounds = ((due - boot) * ctx.set.tuning.slack_use / run).floor().max(1.0);
+                let running = self.counts(id).1 as usize;
+                let side = ((n + running) as f64 / rounds).ceil() as usize;
+                n = n.min(side.saturating_sub(running));
+            }
+            if n > 0 {
+                wants.push((s.priority, due, s.clone(), n));
+            }
+        }
+        wants.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)));
+        let mut hires: HashMap<(String, String, bool), u32> = HashMap::new();
+        // Spare room for urgent services comes before lesser work, which may use it meanwhile.
+        if let Some(s) = self.fleet.usual.clone() {
+            let renting: f64 = self
+                .fleet
+                .renting
+                .iter()
+                .filter(|r| !r.hire.spot)
+                .filter_map(|r| Some(per_machine(self.kind(&r.hire.machine_type)?, &s) * r.hire.count))
+                .map(f64::from)
+                .sum();
+            let have = self.spare_rooms() + renting;
+            let waiting: usize = wants.iter().filter(|w| w.0 >= s.priority).map(|w| w.3).sum();
+            let short = waiting as f64 + ctx.set.tuning.spare_tasks - have;
+            if short > 0.0 {
+                self.rent_for(now, &s, short.ceil() as usize, &mut bins, &mut hires, true);
+            }
+        }
+        for (_, _, s, n) in wants {
+            self.rent_for(now, &s, n, &mut bins, &mut hires, false);
+        }
+        for ((kind, zone, spot), count) in hires {
+            self.fleet.next_hire += 1;
+            let number = self.fleet.next_hire;
+            log::info!("renting {count} {kind} in {zone}, spot {spot}");
+            self.fleet.renting.push(Renting {
+                number,
+                hire: Hire {
+                    request: format!("t{}-{}", self.fleet.term, number),
+                    machine_type: kind,
+                    zone,
+                    spot,
+                    count: count.min(k::HIRE_MAX),
+                },
+                state: HireState::Due { at: now },
+                doubt: false,
+            });
+        }
+    }
+
+    /// Finds room for `n` tasks, renting where none is left. `fresh`: only new machines count.
+    fn rent_for(
+        &self,
+        now: Ms,
+        s: &JobSpec,
+        n: usize,
+        bins: &mut Vec<Bin>,
+        hires: &mut HashMap<(String, String, bool), u32>,
+        fresh: bool,
+    ) {
+        let allowed = |kind: &str, zone: &str, spot: bool| {
+            (!spot || s.spot)
+                && s.types.as_ref().is_none_or(|t| t.iter().any(|t| t == kind))
+                && s.zone.as_ref().is_none_or(|z| z == zone)
+        };
+        let first = if fresh { bins.len() } else { 0 };
+        for done in 0..n {
+            let bin = bins[first..]
+                .iter_mut()
+                .find(|b| allowed(&b.kind, &b.zone, b.spot) && fits(b.free, s));
+            if let Some(b) = bin {
+                b.free = (b.free.0 - s.cpus, b.free.1 - s.gpus, b.free.2 - s.memory_gb);
+                continue;
+            }
+            let left = (n - done) as u32;
+            let mut best: Option<(f64, &MachineType, &String, bool)> = None;
+            for t in &self.catalog.types {
+                let each = per_machine(t, s).min(left);
+                if each == 0 {
+                    continue;
+                }
+                for zone in &t.zones {
+                    for spot in [false, true] {
+                        let price = match (spot, t.spot_price) {
+                            (false, _) => t.price,
+                            (true, Some(p)) => p,
+                            (true, None) => continue,
+                        };
+                        let key = (t.name.clone(), zone.clone(), spot);
+                        let waits = self.fleet.refused.get(&key).is_some_and(|r| now < r.0);
+                        let full = hires.get(&key).copied().unwrap_or(0) >= k::HIRE_STEP;
+                        if waits || full || !allowed(&t.name, zone, spot) {
+                            continue;
+                        }
+                        // Among equals, the zone with fewer machines: one cut hurts less.
+                        let here = self.machines.values().filter(|m| m.zone == *zone).count();
+                        let cost = price / f64::from(each) * (1.0 + here as f64 * 1e-6);
+                        if best.as_ref().is_none_or(|b| cost < b.0) {
+                            best = Some((cost, t, zone, spot));
+                        }
+                    }
+                }
+            }
+            let Some((_, t, zone, spot)) = best else { return };
+            *hires.entry((t.name.clone(), zone.clone(), spot)).or_default() += 1;
+            bins.push(Bin {
+                kind: t.name.clone(),
+                zone: zone.clone(),
+                spot,
+                free: (t.cpus - s.cpus, t.gpus - s.gpus, t.memory_gb - s.memory_gb),
+            });
+        }
+    }
+
+    fn hire(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.ms;
+        let due = self
+            .fleet
+            .renting
+            .iter()
+            .position(|r| matches!(r.state, HireState::Due { at } if now >= at));
+        let Some(at) = due else { return };
+        if !self.cloud(now) {
+            return;
+        }
+        let r = &mut self.fleet.renting[at];
+        r.state = HireState::Sent;
+        let (number, body) = (r.number, encode(&r.hire));
+        let call = crate::leader::Call::Fleet(FleetCall::Hire(number));
+        ctx.call(call, Target::Cloud, "POST", "/hosts".into(), body, k::CLOUD_TIMEOUT_MS);
+    }
+
+    // ---- Answers ----------------------------------------------------------------------------
+
+    pub fn fleet_done(&mut self, ctx: &mut Ctx, call: FleetCall, result: CallResult) {
+        let now = ctx.now.ms;
+        if matches!(result, Ok((429, _))) {
+            self.fleet.pause_until = now + k::CLOUD_RETRY_MS;
+        }
+        match call {
+            FleetCall::Catalog => {
+                self.fleet.catalog_asked = false;
+                self.fleet.catalog_at = now + k::CLOUD_RETRY_MS * 2;
+                if let Ok((200, body)) = result {
+                    match decode::<Catalog>(&body) {
+                        Ok(c) => {
+                            self.catalog = c;
+                            self.fleet.catalog_at = now + k::CATALOG_MS;
+                        }
+                        Err(e) => log::warn!("catalogue not understood: {e}"),
+                    }
+                }
+            }
+            FleetCall::List => self.list_done(ctx, result),
+            FleetCall::Hire(number) => self.hire_done(now, number, result),
+            FleetCall::Delete(ids) => match result {
+                Ok((200, _)) => {
+                    for id in ids {
+                        self.machine_deleted(now, &id);
+                    }
+                    self.wake = true;
+                }
+                other => {
+                    log::warn!("delete: {}", describe(&other));
+                    for id in ids {
+                        if let Some(m) = self.machines.get_mut(&id) {
+                            m.delete_sent = now.saturating_sub(k::CLOUD_TIMEOUT_MS);
+                        }
+                    }
+                }
+            },
+        }
+    }
+
+    fn hire_done(&mut self, now: Ms, number: u64, result: CallResult) {
+        let Some(at) = self.fleet.renting.iter().position(|r| r.number == number) else {
+            return;
+        };
+        let key = {
+            let h = &self.fleet.renting[at].hire;
+            (h.machine_type.clone(), h.zone.clone(), h.spot)
+        };
+        match result {
+            Ok((200, body)) => {
+                let Ok(answer) = decode::<Machines>(&body) else {
+                    log::warn!("rental answer not understood");
+                    self.fleet.renting[at].state = HireState::Due { at: now + k::CLOUD_RETRY_MS };
+                    return;
+                };
+                let r = self.fleet.renting.remove(at);
+                if (answer.machines.len() as u32) < r.hire.count {
+                    self.refuse(now, key.clone());
+                } else {
+                    self.fleet.refused.remove(&key);
+                }
+                for id in answer.machines {
+                    if !self.deleted.contains_key(&id) {
+                        self.machines
+                            .entry(id.clone())
+                            .or_insert_with(|| Machine::new(&id, &key.0, &key.1, key.2, now));
+                    }
+                }
+            }
+            Ok((503, body)) if !self.fleet.renting[at].doubt && no_capacity(&body) => {
+                log::info!("no capacity for {key:?}");
+                self.fleet.renting.remove(at);
+                self.refuse(now, key);
+            }
+            Ok((400, _)) => {
+                log::error!("rental {key:?} called malformed");
+                self.fleet.renting.remove(at);
+                self.refuse(now, key);
+            }
+            other => {
+                let r = &mut self.fleet.renting[at];
+                // A refusal after an unanswered try answers for the try as well.
+                if matches!(&other, Ok((503, body)) if no_capacity(body)) {
+                    self.fleet.renting.remove(at);
+                    self.refuse(now, key);
+                    return;
+                }
+                r.doubt |= matches!(other, Err(CallError::Unknown));
+                r.state = HireState::Due { at: now + k::CLOUD_RETRY_MS };
+                log::debug!("rental: {}", describe(&other));
+            }
+        }
+    }
+
+    fn refuse(&mut self, now: Ms, key: (String, String, bool)) {
+        let wait = self.fleet.refused.get(&key).map_or(k::REFUSED_MS, |r| {
+            (r.1 * 2).min(k::REFUSED_MAX_MS)
+        });
+        self.fleet.refused.insert(key, (now + wait, wait));
+    }
+
+    fn list_done(&mut self, ctx: &Ctx, result: CallResult) {
+        let now = ctx.now.ms;
+        self.fleet.list_asked = false;
+        self.fleet.list_at = now + k::LIST_MS;
+        let page = match result {
+            Ok((200, body)) => match decode::<MachineList>(&body) {
+                Ok(p) => p,
+                Err(e) => return log::warn!("machine list not understood: {e}"),
+            },
+            other => return log::debug!("machine list: {}", describe(&other)),
+        };
+        let more = page.more && !page.machines.is_empty();
+        self.fleet.listing.get_or_insert_default().extend(page.machines);
+        if more {
+            self.fleet.list_at = now;
+            return;
+        }
+        let list = self.fleet.listing.take().unwrap_or_default();
+        let mut present = HashSet::new();
+        for l in list {
+            present.insert(l.id.clone());
+            if self.deleted.contains_key(&l.id) {
+                continue;
+            }
+            let age = (l.age_s.clamp(0.0, 1e9) * 1e3) as u64;
+            let m = self.machines.entry(l.id.clone()).or_insert_with(|| {
+                log::info!("machine {} found in the list", l.id);
+                let mut m = Machine::new(&l.id, &l.machine_type, &l.zone, l.spot, now);
+                m.born = now.saturating_sub(age);
+                m
+            });
+            m.listed = true;
+            m.missing = 0;
+            if m.addr.is_none() {
+                m.addr = l.addr;
+            }
+            if l.state == MachineState::Failed && !matches!(m.life, Life::Deleting | Life::Gone) {
+                log::warn!("machine {} failed", m.id);
+                m.set_life(Life::Deleting);
+            }
+        }
+        // Once listed, a machine stays listed until it is gone; but lists are old.
+        let lag = (ctx.set.list_lag_s * 2.0 * 1e3) as u64;
+        for m in self.machines.values_mut() {
+            if !present.contains(&m.id) && m.listed && now > m.known_since + lag {
+                m.missing += 1;
+                if m.missing >= 2 && m.heard.is_none() && m.life == Life::Booting {
+                    m.set_life(Life::Deleting);
+                }
+            }
+        }
+    }
+}
+
+fn no_capacity(body: &[u8]) -> bool {
+    decode::<stonegw_wire::msg::ErrorBody>(body).is_ok_and(|e| e.error.contains("capacity"))
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,10 @@
-
+//! The controller's state machines, free of I/O: events and the time go in, actions come out.
+pub mod api;
+pub mod fleet;
+pub mod leader;
+pub mod ledger;
+pub mod node;
+pub mod records;
+pub mod replica;
+pub mod schedule;
+pub mod settings;
--- /dev/null
+++ b/crates/control/src/records.rs
@@ -0,0 +1,173 @@
+//! What stands in the state service.
+//!
+//! | key | written by | holds |
+//! | --- | --- | --- |
+//! | `c/leader` | whoever is elected, under its lease | name, nonce and lease; its stamp is the term |
+//! | `c/j/<job>` | any node | the submission and how it ended |
+//! | `d/<job>/<chunk>` | the leader | finished tasks of one chunk, as a bitmap |
+//! | `m/<machine>` | the leader | what may be on that machine |
+use base64::{engine::general_purpose::STANDARD_NO_PAD, Engine};
+use serde::{Deserialize, Serialize};
+use stonegw_wire::msg::JobSpec;
+
+pub const COMMON: &str = "c/";
+pub const LEADER: &str = "c/leader";
+pub const JOBS: &str = "c/j/";
+pub const DONE: &str = "d/";
+pub const MACHINES: &str = "m/";
+
+pub fn job_key(job: &str) -> String {
+    format!("{JOBS}{job}")
+}
+pub fn done_key(job: &str, chunk: u32) -> String {
+    format!("{DONE}{job}/{chunk}")
+}
+pub fn machine_key(machine: &str) -> String {
+    format!("{MACHINES}{machine}")
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum End {
+    Done,
+    Cancelled,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub tasks: u32,
+    /// Time of day of the submission, ms.
+    pub at: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<JobSpec>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub end: Option<End>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub node: String,
+    /// Tells this process from earlier ones of the same name.
+    pub nonce: u64,
+    pub lease: u64,
+}
+
+/// Anything under `c/`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Common {
+    Job(JobRecord),
+    Leader(LeaderRecord),
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DoneRecord {
+    pub bits: String,
+}
+
+/// One task that may be on the machine. Self-contained, so that a new leader can count it
+/// whatever became of its job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlacedRecord {
+    pub task: String,
+    pub attempt: u64,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub mem: f64,
+    pub team: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    #[serde(rename = "type")]
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    #[serde(default)]
+    pub addr: Option<String>,
+    pub tasks: Vec<PlacedRecord>,
+}
+
+/// Anything the leader writes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Value {
+    Leader(LeaderRecord),
+    Job(JobRecord),
+    Machine(MachineRecord),
+    Done(DoneRecord),
+}
+
+/// Which tasks are done.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Bitmap(Vec<u8>);
+
+impl Bitmap {
+    pub fn get(&self, n: u32) -> bool {
+        self.0
+            .get(n as usize / 8)
+            .is_some_and(|b| b & (1 << (n % 8)) != 0)
+    }
+
+    /// True if it was not set before.
+    pub fn set(&mut self, n: u32) -> bool {
+        let at = n as usize / 8;
+        if self.0.len() <= at {
+            self.0.resize(at + 1, 0);
+        }
+        let new = self.0[at] & (1 << (n % 8)) == 0;
+        self.0[at] |= 1 << (n % 8);
+        new
+    }
+
+    /// The part from task `first`, `tasks` long (both multiples of 8 but the last).
+    pub fn encode(&self, first: u32, tasks: u32) -> String {
+        let from = (first as usize / 8).min(self.0.len());
+        let to = (first as usize + tasks as usize).div_ceil(8).min(self.0.len());
+        STANDARD_NO_PAD.encode(&self.0[from..to])
+    }
+
+    pub fn merge(&mut self, first: u32, bits: &str) -> Result<(), String> {
+        let bytes = STANDARD_NO_PAD.decode(bits).map_err(|e| e.to_string())?;
+        for (i, byte) in bytes.iter().enumerate() {
+            for bit in 0..8 {
+                if byte & (1 << bit) != 0 {
+                    self.set(first + (i as u32) * 8 + bit);
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+pub fn task_name(job: &str, index: u32) -> String {
+    format!("{job}/{index}")
+}
+
+pub fn parse_task(task: &str) -> Option<(&str, u32)> {
+    let (job, index) = task.rsplit_once('/')?;
+    Some((job, index.parse().ok()?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_largest_job_fits_its_records() {
+        use stonegw_constants::DONE_CHUNK;
+        let mut all = Bitmap::default();
+        for n in (0..100_000).step_by(2) {
+            assert!(all.set(n));
+        }
+        assert!(!all.set(0));
+        let mut back = Bitmap::default();
+        for first in (0..100_000).step_by(DONE_CHUNK as usize) {
+            let bits = all.encode(first, DONE_CHUNK);
+            assert!(bits.len() < 2048);
+            back.merge(first, &bits).unwrap();
+        }
+        assert_eq!(all, back);
+        assert!(Bitmap::default().merge(0, "not base64!").is_err());
+    }
+}
--- /dev/null
+++ b/crates/control/src/schedule.rs
@@ -0,0 +1,579 @@
+//! What runs where. Deadline work by the design's rules: once a second each task picks its
+//! best-chance machine and the soonest-finishing pair goes first; what is below the deferring
+//! threshold waits; held tasks below the drop threshold leave their queue while the toggle is
+//! on. Everything else fills leftover room first fit.
+use crate::api::Ms;
+use crate::leader::{immediate, zone_allows, Ctx, Leader};
+use crate::ledger::{team_usage, Life, Machine, Phase, Work};
+use std::collections::{BTreeMap, HashMap};
+use stonegw_constants as k;
+use stonegw_sched::curve::Curve;
+use stonegw_sched::pam::{soonest, Offer, Queue, Slot};
+use stonegw_sched::pruner::{Pruner, Toggle};
+use stonegw_sched::runtimes::RunTimes;
+use stonegw_wire::msg::{JobSpec, Priority};
+
+#[derive(Default)]
+pub struct Scheduler {
+    pub pruner: Pruner,
+    runs: HashMap<String, HashMap<String, RunTimes>>,
+    map_at: Ms,
+    place_at: Ms,
+}
+
+impl Scheduler {
+    pub fn runs(&mut self, spec: &JobSpec, kind: &str) -> &mut RunTimes {
+        let per_type = self.runs.entry(spec.id.clone()).or_default();
+        if !per_type.contains_key(kind) {
+            per_type.insert(kind.into(), RunTimes::seeded(spec.estimate_s, 1.0));
+        }
+        per_type.get_mut(kind).expect("just inserted")
+    }
+
+    pub fn record(&mut self, spec: &JobSpec, kind: &str, run_s: f64) {
+        self.runs(spec, kind).record(run_s);
+    }
+
+    pub fn forget(&mut self, job: &str) {
+        self.runs.remove(job);
+    }
+
+    /// The mean run time over the types seen so far, or the estimate.
+    pub fn mean_s(&self, spec: &JobSpec) -> f64 {
+        let Some(per_type) = self.runs.get(&spec.id) else {
+            return spec.estimate_s;
+        };
+        let best = per_type.values().max_by_key(|r| r.observed);
+        best.map_or(spec.estimate_s, RunTimes::mean_s)
+    }
+}
+
+/// How much each team may still take.
+struct Teams<'a> {
+    ctx: &'a crate::settings::Settings,
+    used: HashMap<String, (f64, f64)>,
+}
+
+impl Teams<'_> {
+    fn allows(&self, spec: &JobSpec) -> bool {
+        let Some(t) = self.ctx.team(&spec.team) else {
+            return false;
+        };
+        let (c, g) = self.used.get(&spec.team).copied().unwrap_or_default();
+        c + spec.cpus <= t.cpus_max + k::EPSILON && g + spec.gpus <= t.gpus_max + k::EPSILON
+    }
+
+    fn within_guarantee(&self, spec: &JobSpec) -> bool {
+        let Some(t) = self.ctx.team(&spec.team) else {
+            return false;
+        };
+        let (c, g) = self.used.get(&spec.team).copied().unwrap_or_default();
+        c + spec.cpus <= t.cpus + k::EPSILON && g + spec.gpus <= t.gpus + k::EPSILON
+    }
+
+    fn take(&mut self, spec: &JobSpec) {
+        let u = self.used.entry(spec.team.clone()).or_default();
+        u.0 += spec.cpus;
+        u.1 += spec.gpus;
+    }
+}
+
+type Rank = (Priority, bool);
+
+impl Leader {
+    /// Whether a task of this job may go to that machine, room aside.
+    fn usable(&self, ctx: &Ctx, m: &Machine, w: &Work) -> bool {
+        let spec = &w.spec;
+        m.life == Life::Up
+            && !m.quiet(ctx.now.ms, ctx.set.report_s)
+            && m.under_token
+            && (!m.spot || spec.spot)
+            && spec.types.as_ref().is_none_or(|t| t.contains(&m.kind))
+            && ctx.now.ms >= m.full_until
+            && !w.bad.contains(&m.id)
+            && m.record_bytes(&spec.team) < ctx.set.value_bytes
+            && zone_allows(&self.machines, w, &m.zone)
+    }
+
+    fn room(&self, m: &Machine, spec: &JobSpec) -> bool {
+        let Some(kind) = self.kind(&m.kind) else {
+            return false;
+        };
+        let (c, g, mem) = m.free(kind);
+        c + k::EPSILON >= spec.cpus && g + k::EPSILON >= spec.gpus && mem + k::EPSILON >= spec.memory_gb
+    }
+
+    fn teams<'a>(&self, ctx: &Ctx<'a>) -> Teams<'a> {
+        Teams {
+            ctx: ctx.set,
+            used: team_usage(&self.machines),
+        }
+    }
+
+    pub fn schedule(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.ms;
+        if self.wake && now >= self.sched.place_at {
+            self.sched.place_at = now + k::PLACE_MS;
+            self.wake = false;
+            let ids: Vec<String> = self.machines.keys().cloned().collect();
+            self.place_now(ctx, true);
+            for id in ids {
+                self.promote(ctx, &id);
+            }
+        }
+        if now >= self.sched.map_at {
+            self.sched.map_at = now + ctx.set.tuning.map_ms;
+            self.map(ctx);
+            self.place_now(ctx, false);
+        }
+    }
+
+    /// Starts held tasks for which room has become free.
+    pub fn promote(&mut self, ctx: &Ctx, id: &str) {
+        loop {
+            let Some(m) = self.machines.get(id) else { return };
+            let Some((job, index)) = m.held.first().cloned() else {
+                return;
+            };
+            let Some(w) = self.works.get(&job) else {
+                self.machines.get_mut(id).expect("seen").held.remove(0);
+                continue;
+            };
+            if !self.room(m, &w.spec) || !self.usable(ctx, m, w) || !self.teams(ctx).allows(&w.spec)
+            {
+                return;
+            }
+            self.machines.get_mut(id).expect("seen").held.remove(0);
+            self.place(ctx.now.ms, id, &job, index);
+        }
+    }
+
+    /// First fit for work without a deadline, late or dropped. `urgent`: only what may not wait
+    /// for the next mapping; it may also push lesser work aside.
+    fn place_now(&mut self, ctx: &Ctx, urgent: bool) {
+        let now = ctx.now.ms;
+        let mut teams = self.teams(ctx);
+        let mut order: Vec<(Rank, u64, String)> = self
+            .works
+            .iter()
+            .filter(|(_, w)| !w.pending.is_empty() && !w.ending && now >= w.retry_at)
+            .filter(|(_, w)| {
+                if urgent {
+                    immediate(w) && w.urgent()
+                } else {
+                    immediate(w) || w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0) || !w.dropped.is_empty()
+                }
+            })
+            .map(|(id, w)| {
+                let rank = (w.spec.priority, teams.within_guarantee(&w.spec));
+                (rank, w.at, id.clone())
+            })
+            .collect();
+        order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
+        let mut claimed: HashMap<String, (f64, f64, f64)> = HashMap::new();
+        for (_, _, job) in order {
+            loop {
+                let Some(w) = self.works.get(&job) else { break };
+                let late = w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0);
+                let index = if immediate(w) || late {
+                    w.pending.front().copied()
+                } else {
+                    w.pending.iter().find(|n| w.dropped.contains(n)).copied()
+                };
+                let Some(index) = index else { break };
+                if !teams.allows(&w.spec) {
+                    break;
+                }
+                let spec = w.spec.clone();
+                let fit = self
+                    .machines
+                    .values()
+                    .filter(|m| {
+                        (m.held.is_empty() || urgent) && self.room(m, &spec) && self.usable(ctx, m, w)
+                    })
+                    .min_by(|a, b| {
+                        let key = |m: &Machine| {
+                            let free = self.kind(&m.kind).map_or(0.0, |kd| m.free(kd).0);
+                            (!m.has_image(&spec.image), (free * 100.0) as i64)
+                        };
+                        key(a).cmp(&key(b))
+                    })
+                    .map(|m| m.id.clone());
+                match fit {
+                    Some(id) => {
+                        teams.take(&spec);
+                        self.place(now, &id, &job, index);
+                    }
+                    None => {
+                        if urgent {
+                            self.preempt(ctx, &job, &mut claimed);
+                        }
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Stops work of lower priority where that loses least, so that an urgent task can start.
+    fn preempt(&mut self, ctx: &Ctx, job: &str, claimed: &mut HashMap<String, (f64, f64, f64)>) {
+        let now = ctx.now.ms;
+        let Some(w) = self.works.get(job) else { return };
+        let spec = w.spec.clone();
+        let mut best: Option<(u64, String, Vec<u64>)> = None;
+        for m in self.machines.values() {
+            let Some(kind) = self.kind(&m.kind) else {
+                continue;
+            };
+            if !self.usable(ctx, m, w) {
+                continue;
+            }
+            let (mut c, mut g, mut mem) = m.free(kind);
+            let taken = claimed.get(&m.id).copied().unwrap_or_default();
+            c -= taken.0;
+            g -= taken.1;
+            mem -= taken.2;
+            let mut victims = vec![];
+            for p in m.placements.iter().filter(|p| p.present()) {
+                if p.stop.is_some() {
+                    c += p.cpus;
+                    g += p.gpus;
+                    mem += p.memory;
+                } else if let Some(v) = self.works.get(&p.job) {
+                    if v.spec.priority < spec.priority && p.phase != Phase::Saving {
+                        let ran = p.running_at.map_or(0, |t| now.saturating_sub(t));
+                        victims.push((ran, p));
+                    }
+                }
+            }
+            victims.sort_by_key(|(ran, _)| *ran);
+            let (mut cost, mut stops) = (0, vec![]);
+            let fits = |c: f64, g: f64, mem: f64| {
+                c + k::EPSILON >= spec.cpus
+                    && g + k::EPSILON >= spec.gpus
+                    && mem + k::EPSILON >= spec.memory_gb
+            };
+            for (ran, p) in victims {
+                if fits(c, g, mem) {
+                    break;
+                }
+                c += p.cpus;
+                g += p.gpus;
+                mem += p.memory;
+                cost += ran + 1;
+                stops.push(p.attempt);
+            }
+            if fits(c, g, mem) && best.as_ref().is_none_or(|b| cost < b.0) {
+                best = Some((cost, m.id.clone(), stops));
+            }
+        }
+        let Some((cost, id, stops)) = best else { return };
+        let claim = claimed.entry(id.clone()).or_default();
+        claim.0 += spec.cpus;
+        claim.1 += spec.gpus;
+        claim.2 += spec.memory_gb;
+        if !stops.is_empty() {
+            log::info!("{job} pushes {} tasks aside on {id}, {cost} ms lost", stops.len());
+        }
+        let Some(m) = self.machines.get_mut(&id) else {
+            return;
+        };
+        for p in m.placements.iter_mut().filter(|p| stops.contains(&p.attempt)) {
+            let saves = self.works.get(&p.job).map_or(0.0, |v| {
+                if v.spec.checkpoint_s > 0.0 {
+                    v.spec.save_s + k::WIND_DOWN_MARGIN_S
+                } else {
+                    0.0
+                }
+            });
+            p.stop = Some(saves);
+        }
+    }
+
+    /// One mapping event.
+    fn map(&mut self, ctx: &Ctx) {
+        let now = ctx.now.ms;
+        let wall = ctx.now.wall_ms;
+        // Misses since the last mapping feed the toggle.
+        let mut misses = 0;
+        for w in self.works.values_mut() {
+            if !w.missed && w.due_s(wall).is_some_and(|d| d <= 0.0) {
+                w.missed = true;
+                misses += (w.spec.tasks - w.done_count) as usize;
+            }
+        }
+        let was = self.sched.pruner.toggle;
+        self.sched.pruner.count_misses(misses);
+        if was != self.sched.pruner.toggle {
+            log::info!("pruning toggle {:?} -> {:?}", was, self.sched.pruner.toggle);
+        }
+        let (mut queues, robustness) = self.queues(ctx);
+        let mut teams = self.teams(ctx);
+
+        // What waits, a job standing for its like tasks.
+        struct Cand {
+            job: String,
+            spec: JobSpec,
+            due: f64,
+            left: usize,
+            rank: Rank,
+            best: Option<(String, Offer)>,
+        }
+        let mut cands: Vec<Cand> = self
+            .works
+            .iter()
+            .filter(|(_, w)| !immediate(w) && !w.ending && now >= w.retry_at)
+            .filter_map(|(id, w)| {
+                let due = w.due_s(wall).filter(|d| *d > 0.0)?;
+                let left = w.pending.len().saturating_sub(w.dropped.len());
+                (left > 0).then(|| Cand {
+                    job: id.clone(),
+                    spec: w.spec.clone(),
+                    due,
+                    left,
+                    rank: (w.spec.priority, false),
+                    best: None,
+                })
+            })
+            .collect();
+        let waiting: usize = cands.iter().map(|c| c.left).sum();
+        for c in &mut cands {
+            c.best = self.best_offer(ctx, &queues, &c.job, c.due);
+        }
+        let threshold = {
+            let smallest = cands.iter().map(|c| c.spec.cpus).fold(f64::MAX, f64::min);
+            let free_slots: usize = queues
+                .values()
+                .map(|q| {
+                    let now_free = (q.cpus.max(0.0) / smallest.max(0.1)) as usize;
+                    now_free + k::HELD.saturating_sub(q.held)
+                })
+                .sum();
+            let old = self.sched.pruner.deferring;
+            let passing = cands
+                .iter()
+                .filter(|c| c.best.as_ref().is_some_and(|b| b.1.chance >= old))
+                .map(|c| c.left)
+                .sum();
+            self.sched.pruner.adjust(waiting, free_slots, passing, robustness);
+            self.sched.pruner.deferring
+        };
+        loop {
+            for c in &mut cands {
+                c.rank.1 = teams.within_guarantee(&c.spec);
+            }
+            let open = |c: &&Cand| {
+                c.left > 0
+                    && teams.allows(&c.spec)
+                    && c.best.as_ref().is_some_and(|b| b.1.chance >= threshold)
+            };
+            let Some(rank) = cands.iter().filter(open).map(|c| c.rank).max() else {
+                break;
+            };
+            let offers = cands
+                .iter()
+                .enumerate()
+                .filter(|(_, c)| open(c) && c.rank == rank)
+                .filter_map(|(i, c)| Some((i, c.best.as_ref()?.1)));
+            let Some((i, _)) = soonest(offers) else { break };
+            let c = &mut cands[i];
+            let Some((id, _)) = c.best.clone() else { break };
+            let spec = c.spec.clone();
+            let Some(q) = queues.get_mut(&id) else { break };
+            let Some(start) = q.start(spec.cpus, spec.gpus, spec.memory_gb) else {
+                c.best = None;
+                continue;
+            };
+            let Some(w) = self.works.get(&c.job) else { break };
+            let next = w.pending.iter().find(|n| !w.dropped.contains(n)).copied();
+            let Some(index) = next else {
+                c.left = 0;
+                continue;
+            };
+            c.left -= 1;
+            let fetch = self.fetch_s(&id, &spec);
+            let kind = self.machines.get(&id).map_or(String::new(), |m| m.kind.clone());
+            let run = self.sched.runs(&spec, &kind).run().clone();
+            let end = match &start.curve {
+                None => run.shift(fetch),
+                Some(at) => at.convolve(&run),
+            };
+            let q = queues.get_mut(&id).expect("seen");
+            q.push(&start, end, spec.cpus, spec.gpus, spec.memory_gb);
+            teams.take(&spec);
+            let job = c.job.clone();
+            if start.curve.is_none() {
+                self.place(now, &id, &job, index);
+            } else {
+                if let Some(w) = self.works.get_mut(&job) {
+                    w.take(index);
+                }
+                if let Some(m) = self.machines.get_mut(&id) {
+                    m.held.push((job.clone(), index));
+                }
+            }
+            // Only offers on that machine changed, and of that job where zones matter.
+            for c in &mut cands {
+                let here = c.best.as_ref().is_some_and(|b| b.0 == id);
+                let zoned = c.job == job && (c.spec.one_zone || c.spec.spread);
+                if c.left > 0 && (here || zoned) {
+                    c.best = self.best_offer(ctx, &queues, &c.job, c.due);
+                }
+            }
+        }
+    }
+
+    fn fetch_s(&self, machine: &str, spec: &JobSpec) -> f64 {
+        let Some(m) = self.machines.get(machine) else {
+            return 0.0;
+        };
+        if m.has_image(&spec.image) {
+            return 0.0;
+        }
+        let rate = self.kind(&m.kind).map_or(1.0, |t| t.fetch_gb_per_s);
+        spec.image_gb / rate.max(0.01)
+    }
+
+    fn best_offer(
+        &mut self,
+        ctx: &Ctx,
+        queues: &BTreeMap<String, Queue>,
+        job: &str,
+        due: f64,
+    ) -> Option<(String, Offer)> {
+        let spec = self.works.get(job)?.spec.clone();
+        let mut best: Option<(String, Offer)> = None;
+        for (id, q) in queues {
+            let Some(start) = q.start(spec.cpus, spec.gpus, spec.memory_gb) else {
+                continue;
+            };
+            let (Some(m), Some(w)) = (self.machines.get(id), self.works.get(job)) else {
+                continue;
+            };
+            if !self.usable(ctx, m, w) {
+                continue;
+            }
+            let kind = m.kind.clone();
+            let fetch = self.fetch_s(id, &spec);
+            let spare = q.cpus - spec.cpus;
+            let runs = self.sched.runs(&spec, &kind);
+            let mean = runs.mean_s();
+            let offer = match &start.curve {
+                None => Offer {
+                    chance: Curve::at(fetch).chance(runs.cumulative(), due),
+                    finish: fetch + mean,
+                    spare,
+                },
+                // The image comes while the task waits, or after: a bound is enough here.
+                Some(at) => {
+                    let wait = at.mean();
+                    Offer {
+                        chance: at.chance(runs.cumulative(), due - fetch),
+                        finish: wait + fetch + mean,
+                        spare,
+                    }
+                }
+            };
+            if best.as_ref().is_none_or(|b| offer.beats(&b.1)) {
+                best = Some((id.clone(), offer));
+            }
+        }
+        best
+    }
+
+    /// Every machine's queue with its tail curves. Held tasks below the drop threshold leave
+    /// while the toggle is on. Also returns the instantaneous robustness.
+    fn queues(&mut self, ctx: &Ctx) -> (BTreeMap<String, Queue>, f64) {
+        let now = ctx.now.ms;
+        let wall = ctx.now.wall_ms;
+        let mut out = BTreeMap::new();
+        let (mut sum, mut count) = (0.0, 0usize);
+        let ids: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| m.life == Life::Up && !m.quiet(now, ctx.set.report_s))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in ids {
+            let m = &self.machines[&id];
+            let Some(kind) = self.kind(&m.kind) else {
+                continue;
+            };
+            let (cpus, gpus, memory) = m.free(kind);
+            let mut q = Queue {
+                cpus,
+                gpus,
+                memory,
+                ..Queue::default()
+            };
+            let kind = m.kind.clone();
+            let running: Vec<_> = m
+                .placements
+                .iter()
+                .filter(|p| p.present())
+                .map(|p| {
+                    let ran = p.running_at.map(|t| now.saturating_sub(t) as f64 / 1e3);
+                    (p.job.clone(), ran, p.cpus, p.gpus, p.memory)
+                })
+                .collect();
+            for (job, ran, cpus, gpus, memory) in running {
+                let Some(w) = self.works.get(&job) else {
+                    // Ended: it leaves within moments.
+                    q.slots.push(Slot::new(Curve::at(1.0), cpus, gpus, memory));
+                    continue;
+                };
+                if w.spec.kind == stonegw_wire::msg::JobKind::Service {
+                    continue;
+                }
+                let (spec, due) = (w.spec.clone(), w.due_s(wall));
+                let runs = self.sched.runs(&spec, &kind);
+                let end = match ran {
+                    Some(s) => runs.left(s),
+                    None => runs.run().clone(),
+                };
+                if let Some(due) = due {
+                    sum += end.chance(&Curve::at(0.0).cumulative(), due);
+                    count += 1;
+                }
+                q.slots.push(Slot::new(end, cpus, gpus, memory));
+            }
+            q.slots.sort_by(|a, b| a.mean.total_cmp(&b.mean));
+            let held = std::mem::take(&mut self.machines.get_mut(&id).expect("listed").held);
+            let mut kept = vec![];
+            for (position, (job, index)) in held.into_iter().enumerate() {
+                let Some(w) = self.works.get(&job) else {
+                    continue;
+                };
+                let (spec, due) = (w.spec.clone(), w.due_s(wall).unwrap_or(0.0));
+                let Some(start) = q.start(spec.cpus, spec.gpus, spec.memory_gb) else {
+                    self.works.get_mut(&job).expect("seen").give_back(index);
+                    continue;
+                };
+                let runs = self.sched.runs(&spec, &kind);
+                let end = match &start.curve {
+                    Some(at) => at.convolve(runs.run()),
+                    None => runs.run().clone(),
+                };
+                let chance = end.chance(&Curve::at(0.0).cumulative(), due);
+                let threshold = Pruner::drop_threshold(end.skewness(), position + 1);
+                let drop = self.sched.pruner.toggle == Toggle::On && chance < threshold;
+                if drop || due <= 0.0 {
+                    log::info!("{job}/{index} leaves the queue of {id}: chance {chance:.2}");
+                    let w = self.works.get_mut(&job).expect("seen");
+                    w.give_back(index);
+                    if drop {
+                        w.dropped.insert(index);
+                    }
+                    continue;
+                }
+                sum += chance;
+                count += 1;
+                q.push(&start, end, spec.cpus, spec.gpus, spec.memory_gb);
+                kept.push((job, index));
+            }
+            self.machines.get_mut(&id).expect("listed").held = kept;
+            out.insert(id, q);
+        }
+        (out, if count == 0 { 1.0 } else { sum / count as f64 })
+    }
+}
--- /dev/null
+++ b/crates/control/src/settings.rs
@@ -0,0 +1,114 @@
+//! The settings as the core uses them; the daemon reads and checks the files.
+use stonegw_constants as k;
+
+#[derive(Clone, Debug)]
+pub struct Team {
+    pub name: String,
+    pub cpus: f64,
+    pub cpus_max: f64,
+    pub gpus: f64,
+    pub gpus_max: f64,
+}
+
+/// What an operator may tune (the HCL file); the defaults stand in the constants.
+#[derive(Clone, Debug)]
+pub struct Tuning {
+    /// Tasks of the usual urgent size kept free.
+    pub spare_tasks: f64,
+    /// ms an idle machine is kept.
+    pub idle_return_ms: u64,
+    /// Part of the time to a deadline the fleet is sized for.
+    pub slack_use: f64,
+    /// ms the leader key outlives its last renewal.
+    pub leader_ttl_ms: u64,
+    /// ms between mappings.
+    pub map_ms: u64,
+    /// Tasks held per machine.
+    pub held: usize,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning {
+            spare_tasks: k::SPARE_TASKS,
+            idle_return_ms: k::IDLE_RETURN_MS,
+            slack_use: k::SLACK_USE,
+            leader_ttl_ms: k::LEADER_TTL_MS,
+            map_ms: k::MAP_MS,
+            held: k::HELD,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub node: String,
+    pub zone: String,
+    pub peers: Vec<String>,
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+    pub state_rps: f64,
+    pub state_write_rps: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub cloud_rps: f64,
+    pub list_lag_s: f64,
+    pub max_sockets: usize,
+    pub tuning: Tuning,
+}
+
+impl Settings {
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.teams.iter().find(|t| t.name == name)
+    }
+}
+
+/// A rate budget that refills steadily.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: u64,
+}
+
+impl Bucket {
+    pub fn new(rate: f64, burst: f64) -> Bucket {
+        Bucket {
+            rate,
+            burst,
+            level: burst,
+            at: 0,
+        }
+    }
+
+    pub fn level(&mut self, now: u64) -> f64 {
+        let passed = now.saturating_sub(self.at) as f64 / 1e3;
+        self.level = (self.level + passed * self.rate).min(self.burst);
+        self.at = self.at.max(now);
+        self.level
+    }
+
+    pub fn take(&mut self, now: u64, n: f64) -> bool {
+        let ok = self.level(now) >= n;
+        if ok {
+            self.level -= n;
+        }
+        ok
+    }
+
+    /// For what must go out in any case; later takers wait for it.
+    pub fn force(&mut self, now: u64, n: f64) {
+        self.level(now);
+        self.level -= n;
+    }
+
+    pub fn set_rate(&mut self, rate: f64, burst: f64) {
+        self.rate = rate;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+}
--- a/crates/stonegwd/src/main.rs
+++ b/crates/stonegwd/src/main.rs
@@ -1,1 +1,141 @@
-fn main(){}
+//! The stonegw controller daemon.
+mod settings;
+
+use clap::Parser;
+use rand::{Rng, SeedableRng};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
+use stonegw_control::api::{Action, CallError, Event, Link, Now, Target};
+use stonegw_control::node::Node;
+use stonegw_net::{Failed, Net, NetEvent};
+
+/// Controller of the stonegw cluster scheduler.
+#[derive(Parser)]
+#[command(version, about)]
+struct Args {
+    /// The platform's settings file (TOML).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The operators' own settings (HCL); every value in it has a default.
+    #[arg(long, value_name = "FILE")]
+    tuning: Option<PathBuf>,
+    /// Check the settings, print what they come to, and stop.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let loaded = match settings::load(&args.config, args.tuning.as_deref()) {
+        Ok(loaded) => loaded,
+        Err(why) => {
+            eprintln!("stonegwd: {why}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        println!("{:#?}", loaded.core);
+        return ExitCode::SUCCESS;
+    }
+    let env = env_logger::Env::new().filter_or("LOG_LEVEL", "info");
+    env_logger::Builder::from_env(env)
+        .format_timestamp_millis()
+        .init();
+    match run(loaded) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(loaded: settings::Loaded) -> std::io::Result<()> {
+    let settings::Loaded {
+        core,
+        client_listen,
+        cluster_listen,
+        peer_endpoints,
+        cloud,
+        state,
+    } = loaded;
+    log::info!("{} starts", core.node);
+    let mut net = Net::new(client_listen, cluster_listen, peer_endpoints, core.max_sockets)?;
+    let mut node = Node::new(core, rand::rngs::SmallRng::from_os_rng().random());
+    let mut events = vec![Event::Start];
+    loop {
+        events.push(Event::Tick);
+        for event in events.drain(..) {
+            let now = Now {
+                ms: net.now(),
+                wall_ms: SystemTime::now()
+                    .duration_since(UNIX_EPOCH)
+                    .map_or(0, |d| d.as_millis() as u64),
+            };
+            for action in node.handle(now, event) {
+                perform(&mut net, action, &cloud, &state);
+            }
+        }
+        events.extend(net.poll()?.into_iter().map(translate));
+    }
+}
+
+fn perform(net: &mut Net, action: Action, cloud: &str, state: &str) {
+    match action {
+        Action::Reply {
+            id,
+            status,
+            retry_after_s,
+            body,
+        } => net.reply(id, status, retry_after_s, &body),
+        Action::Call {
+            call,
+            target,
+            method,
+            path,
+            body,
+            timeout_ms,
+        } => {
+            let addr = match &target {
+                Target::State => state,
+                Target::Cloud => cloud,
+                Target::Worker(addr) => addr,
+            };
+            net.call(call, addr, method, &path, &body, timeout_ms);
+        }
+        Action::Send { to, frame } => net.send(
+            match to {
+                Link::Out(i) => stonegw_net::Link::Out(i),
+                Link::In(n) => stonegw_net::Link::In(n),
+            },
+            &frame,
+        ),
+    }
+}
+
+fn link(l: stonegw_net::Link) -> Link {
+    match l {
+        stonegw_net::Link::Out(i) => Link::Out(i),
+        stonegw_net::Link::In(n) => Link::In(n),
+    }
+}
+
+fn translate(event: NetEvent) -> Event {
+    match event {
+        NetEvent::Request { id, request } => Event::Request { id, request },
+        NetEvent::CallDone { call, result } => Event::CallDone {
+            call,
+            result: result.map_err(|e| match e {
+                Failed::NotSent => CallError::NotSent,
+                Failed::Unknown => CallError::Unknown,
+            }),
+        },
+        NetEvent::Frame { from, frame } => Event::Frame {
+            from: link(from),
+            frame,
+        },
+        NetEvent::LinkUp(l) => Event::LinkUp(link(l)),
+        NetEvent::LinkDown(l) => Event::LinkDown(link(l)),
+    }
+}
--- /dev/null
+++ b/crates/stonegwd/src/settings.rs
@@ -0,0 +1,278 @@
+//! Reads and checks the platform's TOML and the operators' HCL.
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+use stonegw_control::settings::{Settings, Team, Tuning};
+
+pub struct Loaded {
+    pub core: Settings,
+    pub client_listen: SocketAddr,
+    pub cluster_listen: SocketAddr,
+    pub peer_endpoints: Vec<String>,
+    pub cloud: String,
+    pub state: String,
+}
+
+// The platform may add fields at any time; unknown ones are ignored.
+#[derive(Deserialize)]
+struct Platform {
+    node: String,
+    #[serde(default)]
+    site: String,
+    client_listen: String,
+    cluster_listen: String,
+    #[serde(default)]
+    known: Vec<Known>,
+    external: External,
+    deployment: Deployment,
+}
+
+#[derive(Deserialize)]
+struct Known {
+    node: String,
+    endpoint: String,
+}
+
+#[derive(Deserialize)]
+struct External {
+    cloud: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct Deployment {
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    teams: Vec<PlatformTeam>,
+    workers: Workers,
+    state: State,
+    cloud: Cloud,
+    limits: Limits,
+}
+
+#[derive(Deserialize)]
+struct PlatformTeam {
+    name: String,
+    cpus: f64,
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct Workers {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct State {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Deserialize)]
+struct Cloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    max_sockets: f64,
+}
+
+// The operators' file is ours: a field we do not know is a mistake.
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct Operators {
+    spare_tasks: Option<f64>,
+    idle_return_s: Option<f64>,
+    slack_use: Option<f64>,
+    leader_ttl_s: Option<f64>,
+    mapping_s: Option<f64>,
+}
+
+fn one_line(text: impl ToString) -> String {
+    let text = text.to_string();
+    let parts: Vec<&str> = text.lines().map(str::trim).filter(|l| !l.is_empty()).collect();
+    parts.join(" ")
+}
+
+fn address(field: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse()
+        .map_err(|_| format!("{field}: must be an IP address and port, not {text:?}"))
+}
+
+fn within(field: &str, value: f64, least: f64, most: f64) -> Result<f64, String> {
+    if value.is_finite() && value >= least && value <= most {
+        Ok(value)
+    } else {
+        Err(format!("{field}: must be from {least} to {most}, not {value}"))
+    }
+}
+
+pub fn load(config: &Path, tuning: Option<&Path>) -> Result<Loaded, String> {
+    let read = |p: &Path| {
+        std::fs::read_to_string(p).map_err(|e| format!("{}: {e}", p.display()))
+    };
+    let tuning = match tuning {
+        Some(p) => operators(&read(p)?).map_err(|e| format!("{}: {e}", p.display()))?,
+        None => Tuning::default(),
+    };
+    platform(&read(config)?, tuning).map_err(|e| format!("{}: {e}", config.display()))
+}
+
+fn operators(text: &str) -> Result<Tuning, String> {
+    let o: Operators = hcl::from_str(text).map_err(one_line)?;
+    let mut t = Tuning::default();
+    if let Some(v) = o.spare_tasks {
+        t.spare_tasks = within("spare_tasks", v, 0.0, 10_000.0)?;
+    }
+    if let Some(v) = o.idle_return_s {
+        t.idle_return_ms = (within("idle_return_s", v, 0.0, 86_400.0)? * 1e3) as u64;
+    }
+    if let Some(v) = o.slack_use {
+        t.slack_use = within("slack_use", v, 0.05, 1.0)?;
+    }
+    if let Some(v) = o.leader_ttl_s {
+        t.leader_ttl_ms = (within("leader_ttl_s", v, 1.0, 600.0)? * 1e3) as u64;
+    }
+    if let Some(v) = o.mapping_s {
+        t.map_ms = (within("mapping_s", v, 0.05, 60.0)? * 1e3) as u64;
+    }
+    Ok(t)
+}
+
+fn platform(text: &str, tuning: Tuning) -> Result<Loaded, String> {
+    let mut p: Platform = toml::from_str(text).map_err(|e| one_line(e.message()))?;
+    if p.node.is_empty() || p.node.len() > 30 {
+        return Err("node: must be 1 to 30 bytes".into());
+    }
+    for k in &p.known {
+        address("known.endpoint", &k.endpoint)?;
+        if k.node.is_empty() || k.node == p.node {
+            return Err(format!("known.node: must name another node, not {:?}", k.node));
+        }
+    }
+    let mut teams = vec![];
+    for t in std::mem::take(&mut p.deployment.teams) {
+        if t.name.is_empty() || teams.iter().any(|o: &Team| o.name == t.name) {
+            return Err(format!("deployment.teams.name: must be unique, not {:?}", t.name));
+        }
+        teams.push(Team {
+            cpus: within("deployment.teams.cpus", t.cpus, 0.0, 1e9)?,
+            cpus_max: within("deployment.teams.cpus_max", t.cpus_max, 0.0, 1e9)?,
+            gpus: within("deployment.teams.gpus", t.gpus, 0.0, 1e9)?,
+            gpus_max: within("deployment.teams.gpus_max", t.gpus_max, 0.0, 1e9)?,
+            name: t.name,
+        });
+    }
+    let d = &p.deployment;
+    if d.state.txn_ops == 0 || d.state.txn_ops > 10_000 {
+        return Err("deployment.state.txn_ops: must be from 1 to 10000".into());
+    }
+    address("external.cloud", &p.external.cloud)?;
+    address("external.state", &p.external.state)?;
+    let core = Settings {
+        node: p.node,
+        zone: p.site,
+        peers: p.known.iter().map(|k| k.node.clone()).collect(),
+        zones: d.zones.clone(),
+        teams,
+        report_s: within("deployment.workers.report_s", d.workers.report_s, 0.1, 3600.0)?,
+        lease_s: within("deployment.workers.lease_s", d.workers.lease_s, 0.5, 86_400.0)?,
+        cancel_s: within("deployment.workers.cancel_s", d.workers.cancel_s, 0.5, 86_400.0)?,
+        state_rps: within("deployment.state.rps", d.state.rps, 1.0, 1e6)?,
+        state_write_rps: within("deployment.state.write_rps", d.state.write_rps, 1.0, 1e6)?,
+        value_bytes: (within("deployment.state.value_kb", d.state.value_kb, 1.0, 1e6)? * 1024.0)
+            as usize,
+        txn_ops: d.state.txn_ops,
+        cloud_rps: within("deployment.cloud.rps", d.cloud.rps, 0.01, 1e6)?,
+        list_lag_s: within("deployment.cloud.list_lag_s", d.cloud.list_lag_s, 0.0, 3600.0)?,
+        max_sockets: within("deployment.limits.max_sockets", d.limits.max_sockets, 32.0, 1e7)?
+            as usize,
+        tuning,
+    };
+    Ok(Loaded {
+        client_listen: address("client_listen", &p.client_listen)?,
+        cluster_listen: address("cluster_listen", &p.cluster_listen)?,
+        peer_endpoints: p.known.into_iter().map(|k| k.endpoint).collect(),
+        cloud: p.external.cloud,
+        state: p.external.state,
+        core,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"
+        node = "a"
+        site = "z"
+        client_listen = "10.0.0.1:8080"
+        cluster_listen = "10.0.0.1:8081"
+        not_known_yet = 1
+        [[known]]
+        node = "b"
+        site = "z"
+        endpoint = "10.0.0.2:8081"
+        [external]
+        cloud = "10.2.0.2:8443"
+        state = "10.2.0.1:2379"
+        [deployment]
+        zones = ["z"]
+        [[deployment.teams]]
+        name = "t"
+        cpus = 1.0
+        cpus_max = 2.0
+        [deployment.workers]
+        report_s = 3.0
+        lease_s = 24.0
+        cancel_s = 54.0
+        [deployment.state]
+        rps = 150.0
+        write_rps = 60.0
+        value_kb = 8.0
+        txn_ops = 32
+        [deployment.cloud]
+        rps = 1.5
+        list_lag_s = 12.0
+        [deployment.limits]
+        max_sockets = 1500
+    "#;
+
+    #[test]
+    fn wrong_settings_name_the_field() {
+        assert!(platform(GOOD, Tuning::default()).is_ok());
+        for (from, to, field) in [
+            ("node = \"a\"", "node = \"\"", "node"),
+            ("rps = 150.0", "rps = -1.0", "deployment.state.rps"),
+            ("lease_s = 24.0", "lease_s = nan", "deployment.workers.lease_s"),
+            ("txn_ops = 32", "txn_ops = 0", "deployment.state.txn_ops"),
+            ("10.2.0.1:2379", "state:2379", "external.state"),
+            ("report_s = 3.0", "", "report_s"),
+            ("node = \"b\"", "node = \"a\"", "known.node"),
+        ] {
+            let text = GOOD.replacen(from, to, 1);
+            let why = platform(&text, Tuning::default()).err().expect(field);
+            assert!(why.contains(field) && !why.contains('\n'), "{field}: {why}");
+        }
+    }
+
+    #[test]
+    fn the_operators_file_is_strict() {
+        let t = operators("spare_tasks = 4\nidle_return_s = 10.5\n").unwrap();
+        assert_eq!((t.spare_tasks, t.idle_return_ms), (4.0, 10_500));
+        assert!(operators("spare_task = 4\n").is_err());
+        assert!(operators("slack_use = 0\n").unwrap_err().contains("slack_use"));
+        assert_eq!(operators("").unwrap().map_ms, Tuning::default().map_ms);
+    }
+}
