--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -63,5 +63,8 @@
         body: Vec<u8>,
         timeout_ms: u64,
     },
-    Send { to: Link, frame: Frame },
+    Send {
+        to: Link,
+        frame: Frame,
+    },
 }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -126,12 +126,26 @@
                 path.push_str(&format!("&since={}", last.id));
             }
             let call = crate::leader::Call::Fleet(FleetCall::List);
-            ctx.call(call, Target::Cloud, "GET", path, vec![], k::CLOUD_TIMEOUT_MS);
+            ctx.call(
+                call,
+                Target::Cloud,
+                "GET",
+                path,
+                vec![],
+                k::CLOUD_TIMEOUT_MS,
+            );
         }
         if now >= self.fleet.catalog_at && !self.fleet.catalog_asked && self.cloud(now) {
             self.fleet.catalog_asked = true;
             let call = crate::leader::Call::Fleet(FleetCall::Catalog);
-            ctx.call(call, Target::Cloud, "GET", "/catalog".into(), vec![], k::CLOUD_TIMEOUT_MS);
+            ctx.call(
+                call,
+                Target::Cloud,
+                "GET",
+                "/catalog".into(),
+                vec![],
+                k::CLOUD_TIMEOUT_MS,
+            );
         }
     }
 
@@ -155,9 +169,13 @@
                 .any(|p| matches!(p.phase, Phase::Exited { settled: false, .. }));
             match m.life {
                 Life::Booting => {
-                    let boot = types.iter().find(|t| t.name == m.kind).map_or(60.0, |t| t.boot_s);
+                    let boot = types
+                        .iter()
+                        .find(|t| t.name == m.kind)
+                        .map_or(60.0, |t| t.boot_s);
                     let age = now.saturating_sub(m.born) as f64 / 1e3;
-                    if age > boot * k::BOOT_GIVE_UP && m.heard.is_none() && m.placements.is_empty() {
+                    if age > boot * k::BOOT_GIVE_UP && m.heard.is_none() && m.placements.is_empty()
+                    {
                         log::warn!("machine {} never came up", m.id);
                         m.set_life(Life::Deleting);
                     }
@@ -194,7 +212,9 @@
             if m.spot || !matches!(m.life, Life::Up | Life::Booting) {
                 continue;
             }
-            let Some(t) = self.kind(&m.kind) else { continue };
+            let Some(t) = self.kind(&m.kind) else {
+                continue;
+            };
             let (mut c, mut mem) = (t.cpus, t.memory_gb);
             for p in m.placements.iter().filter(|p| p.present()) {
                 let lesser = self
@@ -207,7 +227,10 @@
                 }
             }
             let n = (c + k::EPSILON) / s.cpus.max(0.01);
-            sum += n.min((mem + k::EPSILON) / s.memory_gb.max(0.01)).floor().max(0.0);
+            sum += n
+                .min((mem + k::EPSILON) / s.memory_gb.max(0.01))
+                .floor()
+                .max(0.0);
         }
         sum
     }
@@ -218,7 +241,9 @@
         let ids: Vec<String> = self
             .machines
             .values()
-            .filter(|m| m.life == Life::Deleting && (m.delete_sent == 0 || now >= m.delete_sent + again))
+            .filter(|m| {
+                m.life == Life::Deleting && (m.delete_sent == 0 || now >= m.delete_sent + again)
+            })
             .map(|m| m.id.clone())
             .take(k::DELETE_MAX)
             .collect();
@@ -230,9 +255,18 @@
                 m.delete_sent = now;
             }
         }
-        let body = encode(&Machines { machines: ids.clone() });
+        let body = encode(&Machines {
+            machines: ids.clone(),
+        });
         let call = crate::leader::Call::Fleet(FleetCall::Delete(ids));
-        ctx.call(call, Target::Cloud, "POST", "/hosts/delete".into(), body, k::CLOUD_TIMEOUT_MS);
+        ctx.call(
+            call,
+            Target::Cloud,
+            "POST",
+            "/hosts/delete".into(),
+            body,
+            k::CLOUD_TIMEOUT_MS,
+        );
     }
 
     // ---- Renting ----------------------------------------------------------------------------
@@ -241,7 +275,9 @@
         let now = ctx.now.ms;
         let mut bins: Vec<Bin> = vec![];
         for m in self.machines.values() {
-            let Some(t) = self.kind(&m.kind) else { continue };
+            let Some(t) = self.kind(&m.kind) else {
+                continue;
+            };
             let age = now.saturating_sub(m.born) as f64 / 1e3;
             let coming = m.life == Life::Booting && age < t.boot_s * k::BOOT_OVERDUE;
             let up = m.life == Life::Up && !m.quiet(now, ctx.set.report_s);
@@ -294,8 +330,15 @@
             if due > 0.0 {
                 // As many side by side as lets the last finish within part of the time left.
                 let run = self.sched.mean_s(s).max(1.0);
-                let boot = self.catalog.types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
-                let rounds = ((due - boot) * ctx.set.tuning.slack_use / run).floor().max(1.0);
+                let boot = self
+                    .catalog
+                    .types
+                    .iter()
+                    .map(|t| t.boot_s)
+                    .fold(f64::MAX, f64::min);
+                let rounds = ((due - boot) * ctx.set.tuning.slack_use / run)
+                    .floor()
+                    .max(1.0);
                 let running = self.counts(id).1 as usize;
                 let side = ((n + running) as f64 / rounds).ceil() as usize;
                 n = n.min(side.saturating_sub(running));
@@ -313,11 +356,17 @@
                 .renting
                 .iter()
                 .filter(|r| !r.hire.spot)
-                .filter_map(|r| Some(per_machine(self.kind(&r.hire.machine_type)?, &s) * r.hire.count))
+                .filter_map(|r| {
+                    Some(per_machine(self.kind(&r.hire.machine_type)?, &s) * r.hire.count)
+                })
                 .map(f64::from)
                 .sum();
             let have = self.spare_rooms() + renting;
-            let waiting: usize = wants.iter().filter(|w| w.0 >= s.priority).map(|w| w.3).sum();
+            let waiting: usize = wants
+                .iter()
+                .filter(|w| w.0 >= s.priority)
+                .map(|w| w.3)
+                .sum();
             let short = waiting as f64 + ctx.set.tuning.spare_tasks - have;
             if short > 0.0 {
                 self.rent_for(now, &s, short.ceil() as usize, &mut bins, &mut hires, true);
@@ -398,8 +447,12 @@
                     }
                 }
             }
-            let Some((_, t, zone, spot)) = best else { return };
-            *hires.entry((t.name.clone(), zone.clone(), spot)).or_default() += 1;
+            let Some((_, t, zone, spot)) = best else {
+                return;
+            };
+            *hires
+                .entry((t.name.clone(), zone.clone(), spot))
+                .or_default() += 1;
             bins.push(Bin {
                 kind: t.name.clone(),
                 zone: zone.clone(),
@@ -424,7 +477,14 @@
         r.state = HireState::Sent;
         let (number, body) = (r.number, encode(&r.hire));
         let call = crate::leader::Call::Fleet(FleetCall::Hire(number));
-        ctx.call(call, Target::Cloud, "POST", "/hosts".into(), body, k::CLOUD_TIMEOUT_MS);
+        ctx.call(
+            call,
+            Target::Cloud,
+            "POST",
+            "/hosts".into(),
+            body,
+            k::CLOUD_TIMEOUT_MS,
+        );
     }
 
     // ---- Answers ----------------------------------------------------------------------------
@@ -481,7 +541,9 @@
             Ok((200, body)) => {
                 let Ok(answer) = decode::<Machines>(&body) else {
                     log::warn!("rental answer not understood");
-                    self.fleet.renting[at].state = HireState::Due { at: now + k::CLOUD_RETRY_MS };
+                    self.fleet.renting[at].state = HireState::Due {
+                        at: now + k::CLOUD_RETRY_MS,
+                    };
                     return;
                 };
                 let r = self.fleet.renting.remove(at);
@@ -517,16 +579,20 @@
                     return;
                 }
                 r.doubt |= matches!(other, Err(CallError::Unknown));
-                r.state = HireState::Due { at: now + k::CLOUD_RETRY_MS };
+                r.state = HireState::Due {
+                    at: now + k::CLOUD_RETRY_MS,
+                };
                 log::debug!("rental: {}", describe(&other));
             }
         }
     }
 
     fn refuse(&mut self, now: Ms, key: (String, String, bool)) {
-        let wait = self.fleet.refused.get(&key).map_or(k::REFUSED_MS, |r| {
-            (r.1 * 2).min(k::REFUSED_MAX_MS)
-        });
+        let wait = self
+            .fleet
+            .refused
+            .get(&key)
+            .map_or(k::REFUSED_MS, |r| (r.1 * 2).min(k::REFUSED_MAX_MS));
         self.fleet.refused.insert(key, (now + wait, wait));
     }
 
@@ -542,7 +608,10 @@
             other => return log::debug!("machine list: {}", describe(&other)),
         };
         let more = page.more && !page.machines.is_empty();
-        self.fleet.listing.get_or_insert_default().extend(page.machines);
+        self.fleet
+            .listing
+            .get_or_insert_default()
+            .extend(page.machines);
         if more {
             self.fleet.list_at = now;
             return;
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -52,20 +52,44 @@
 #[derive(Clone, Debug)]
 pub enum Item {
     /// The attempts the record held.
-    Machine { id: String, attempts: Vec<u64> },
-    MachineGone { id: String },
-    Done { job: String, chunk: u32, exits: Vec<u64> },
-    End { job: String, exits: Vec<u64> },
-    DropDone { key: String },
+    Machine {
+        id: String,
+        attempts: Vec<u64>,
+    },
+    MachineGone {
+        id: String,
+    },
+    Done {
+        job: String,
+        chunk: u32,
+        exits: Vec<u64>,
+    },
+    End {
+        job: String,
+        exits: Vec<u64>,
+    },
+    DropDone {
+        key: String,
+    },
 }
 
 #[derive(Debug)]
 pub enum Call {
     Renew,
-    Load { prefix: &'static str },
-    Flush { items: Vec<Item> },
-    Reread { item: Item },
-    Do { machine: String, session: u64, runs: Vec<u64> },
+    Load {
+        prefix: &'static str,
+    },
+    Flush {
+        items: Vec<Item>,
+    },
+    Reread {
+        item: Item,
+    },
+    Do {
+        machine: String,
+        session: u64,
+        runs: Vec<u64>,
+    },
     Fleet(FleetCall),
 }
 
@@ -80,7 +104,9 @@
     /// Reading what is stored.
     Loading,
     /// Hearing the workers for one report period.
-    Settling { until: Ms },
+    Settling {
+        until: Ms,
+    },
     Active,
 }
 
@@ -195,7 +221,14 @@
                     path.push_str(&format!("&since={a}"));
                 }
                 let wait = k::STATE_TIMEOUT_MS;
-                ctx.call(Call::Load { prefix }, Target::State, "GET", path, vec![], wait);
+                ctx.call(
+                    Call::Load { prefix },
+                    Target::State,
+                    "GET",
+                    path,
+                    vec![],
+                    wait,
+                );
             }
             None => {
                 // The copy of the jobs was complete when the term began or is caught up by the
@@ -397,6 +430,14 @@
 
     /// Puts a waiting task on a machine. Nothing goes out before it is stored.
     pub fn place(&mut self, now: Ms, machine: &str, job: &str, index: u32) {
+        // The last guard against running twice, whatever went wrong before.
+        if self.is_present(job, index) {
+            log::error!("{job}/{index} may already be on a machine; not placed again");
+            if let Some(w) = self.works.get_mut(job) {
+                w.take(index);
+            }
+            return;
+        }
         let (Some(m), Some(w)) = (self.machines.get_mut(machine), self.works.get_mut(job)) else {
             return;
         };
@@ -433,18 +474,24 @@
     }
 
     /// A task is proven gone from where it was: it waits again, unless it is elsewhere.
-    fn back(&mut self, job: &str, index: u32) {
+    pub fn back(&mut self, job: &str, index: u32) {
         self.wake = true;
-        let elsewhere = self
-            .machines
-            .values()
-            .flat_map(|m| &m.placements)
-            .any(|p| p.job == job && p.index == index && p.present());
+        // A task that is held waits already; waiting twice, it would start twice.
+        let held = |m: &Machine| m.held.iter().any(|(j, i)| j == job && *i == index);
+        let elsewhere = self.is_present(job, index) || self.machines.values().any(held);
         if let (false, Some(w)) = (elsewhere, self.works.get_mut(job)) {
             w.give_back(index);
         }
     }
 
+    /// Whether the task may be on some machine.
+    fn is_present(&self, job: &str, index: u32) -> bool {
+        self.machines
+            .values()
+            .flat_map(|m| &m.placements)
+            .any(|p| p.job == job && p.index == index && p.present())
+    }
+
     /// Everything on the machine is proven gone.
     pub fn all_gone(&mut self, id: &str, only_sent: bool) {
         let Some(m) = self.machines.get_mut(id) else {
@@ -603,7 +650,8 @@
                     Phase::Sent => p.stop.is_some() && beat && !open && seq > p.sent_seq,
                     _ => beat && !open && seq > p.sent_seq,
                 };
-                if out {
+                // What exited was taken back when it did.
+                if out && p.present() {
                     gone.push((p.job.clone(), p.index));
                 }
                 !out
@@ -624,12 +672,12 @@
     fn adopt(&mut self, ctx: &mut Ctx, id: &str, job: &str, index: u32, t: &TaskReport) {
         let now = ctx.now.ms;
         log::warn!("{id} has {job}/{index}#{} unknown to us", t.attempt);
-        let elsewhere = self
-            .machines
-            .values()
-            .flat_map(|m| &m.placements)
-            .any(|p| p.job == job && p.index == index && p.present());
-        let spec = ctx.replica.jobs.get(job).and_then(|j| j.record.spec.as_ref());
+        let elsewhere = self.is_present(job, index);
+        let spec = ctx
+            .replica
+            .jobs
+            .get(job)
+            .and_then(|j| j.record.spec.as_ref());
         let phase = phase_of(t);
         let wanted = !elsewhere && self.works.contains_key(job);
         let Some(m) = self.machines.get_mut(id) else {
@@ -687,7 +735,14 @@
                     }
                     let run_s = p.running_at.map(|t| now.saturating_sub(t) as f64 / 1e3);
                     let run_s = run_s.filter(|_| !p.inherited);
-                    exits.push((m.id.clone(), m.kind.clone(), p.job.clone(), p.index, *cause, run_s));
+                    exits.push((
+                        m.id.clone(),
+                        m.kind.clone(),
+                        p.job.clone(),
+                        p.index,
+                        *cause,
+                        run_s,
+                    ));
                 }
             }
         }
@@ -704,10 +759,9 @@
                         w.done_count += 1;
                         w.take(index);
                         w.dropped.remove(&index);
-                        let chunk = w
-                            .chunks
-                            .entry(index / k::DONE_CHUNK)
-                            .or_insert(Chunk { stored: Stored::absent() });
+                        let chunk = w.chunks.entry(index / k::DONE_CHUNK).or_insert(Chunk {
+                            stored: Stored::absent(),
+                        });
                         chunk.stored.dirty = true;
                         if let Some(s) = run_s {
                             let spec = w.spec.clone();
@@ -720,9 +774,7 @@
                 }
                 _ => {
                     log::info!("{job}/{index} on {id}: {cause:?}");
-                    let wait = |n: u32| {
-                        (k::START_RETRY_MS << n.min(10)).min(k::START_RETRY_MAX_MS)
-                    };
+                    let wait = |n: u32| (k::START_RETRY_MS << n.min(10)).min(k::START_RETRY_MAX_MS);
                     match cause {
                         ExitCause::Error => {
                             w.failures += 1;
@@ -784,12 +836,18 @@
                         // A `run` that may still arrive late must find its attempt used up:
                         // so it is given once more, and ended in the same breath.
                         if open {
-                            out.push(Command::Start { task: task.clone(), attempt });
+                            out.push(Command::Start {
+                                task: task.clone(),
+                                attempt,
+                            });
                             p.sent_seq = seq;
                         }
-                        out.push(Command::Stop { task, attempt, grace_s });
-                    } else if p.stop.is_none() && addr_known && (p.phase == Phase::Ready || beat)
-                    {
+                        out.push(Command::Stop {
+                            task,
+                            attempt,
+                            grace_s,
+                        });
+                    } else if p.stop.is_none() && addr_known && (p.phase == Phase::Ready || beat) {
                         p.set_phase(Phase::Sent);
                         if beat {
                             p.sent_seq = seq;
@@ -801,7 +859,11 @@
                     if let Some(grace_s) = p.stop {
                         if beat || now >= p.stop_sent + 1_000 {
                             p.stop_sent = now;
-                            out.push(Command::Stop { task, attempt, grace_s });
+                            out.push(Command::Stop {
+                                task,
+                                attempt,
+                                grace_s,
+                            });
                         }
                     }
                 }
@@ -862,7 +924,11 @@
             };
             let session = m.session;
             let target = Target::Worker(m.addr.clone().unwrap_or_default());
-            let call = Call::Do { machine: id.clone(), session, runs };
+            let call = Call::Do {
+                machine: id.clone(),
+                session,
+                runs,
+            };
             let wait = k::DO_TIMEOUT_MS;
             let call = ctx.call(call, target, "POST", "/do".into(), encode(&orders), wait);
             m.do_open = Some(call);
@@ -915,9 +981,7 @@
             if matches!(m.life, Life::Up | Life::Draining | Life::Booting) && settled && mattered {
                 let taken = m.notice.is_some_and(|t| now > t + 2_000);
                 let vanished = m.missing >= 2 || taken;
-                if quiet_ms > lost_ms
-                    || (vanished && m.quiet(now, ctx.set.report_s))
-                {
+                if quiet_ms > lost_ms || (vanished && m.quiet(now, ctx.set.report_s)) {
                     // The delete is the proof that everything on it is gone.
                     log::warn!("machine {} is lost after {} ms", m.id, quiet_ms);
                     m.set_life(Life::Deleting);
@@ -931,8 +995,8 @@
         // Unsent placements of jobs that ended, or on machines that get nothing new.
         let mut back = vec![];
         for m in self.machines.values_mut() {
-            let closing = matches!(m.life, Life::Draining | Life::Deleting)
-                || m.quiet(now, ctx.set.report_s);
+            let closing =
+                matches!(m.life, Life::Draining | Life::Deleting) || m.quiet(now, ctx.set.report_s);
             let works = &self.works;
             let writing = m.stored.writing;
             m.placements.retain(|p| {
@@ -992,7 +1056,10 @@
             return;
         }
         let mut txn: Txn<Value> = Txn {
-            conditions: vec![Condition { key: LEADER.into(), version: self.term }],
+            conditions: vec![Condition {
+                key: LEADER.into(),
+                version: self.term,
+            }],
             writes: vec![],
         };
         let mut items = vec![];
@@ -1003,9 +1070,16 @@
                 return false;
             }
             bytes += size;
-            txn.conditions.push(Condition { key: key.clone(), version });
+            txn.conditions.push(Condition {
+                key: key.clone(),
+                version,
+            });
             txn.writes.push(match value {
-                Some(value) => Write::Put { key, value, lease: None },
+                Some(value) => Write::Put {
+                    key,
+                    value,
+                    lease: None,
+                },
                 None => Write::Delete { key },
             });
             items.push(item);
@@ -1020,7 +1094,13 @@
                     .filter(|p| {
                         &p.job == id
                             && chunk.is_none_or(|c| p.index / k::DONE_CHUNK == c)
-                            && matches!(p.phase, Phase::Exited { cause: ExitCause::Done, .. })
+                            && matches!(
+                                p.phase,
+                                Phase::Exited {
+                                    cause: ExitCause::Done,
+                                    ..
+                                }
+                            )
                     })
                     .map(|p| p.attempt)
                     .collect()
@@ -1029,21 +1109,35 @@
                 if w.ending {
                     continue;
                 }
-                let Some(j) = ctx.replica.jobs.get(id) else { continue };
-                let record = JobRecord { spec: None, end: Some(End::Done), ..j.record.clone() };
-                let item = Item::End { job: id.clone(), exits: exits(None) };
+                let Some(j) = ctx.replica.jobs.get(id) else {
+                    continue;
+                };
+                let record = JobRecord {
+                    spec: None,
+                    end: Some(End::Done),
+                    ..j.record.clone()
+                };
+                let item = Item::End {
+                    job: id.clone(),
+                    exits: exits(None),
+                };
                 if add(job_key(id), j.version, Some(Value::Job(record)), item) {
                     w.ending = true;
                 }
                 continue;
             }
             for (n, c) in &mut w.chunks {
-                let (true, Some(version), false) = (c.stored.dirty, c.stored.version, c.stored.writing)
+                let (true, Some(version), false) =
+                    (c.stored.dirty, c.stored.version, c.stored.writing)
                 else {
                     continue;
                 };
                 let bits = w.done.encode(n * k::DONE_CHUNK, k::DONE_CHUNK);
-                let item = Item::Done { job: id.clone(), chunk: *n, exits: exits(Some(*n)) };
+                let item = Item::Done {
+                    job: id.clone(),
+                    chunk: *n,
+                    exits: exits(Some(*n)),
+                };
                 let value = Value::Done(DoneRecord { bits });
                 if add(done_key(id, *n), version, Some(value), item) {
                     c.stored.dirty = false;
@@ -1055,7 +1149,11 @@
         let tidy = level > ctx.set.txn_ops as f64 * 0.5;
         for urgent in [true, false] {
             for (id, m) in &mut self.machines {
-                let due = if urgent { m.stored.dirty } else { m.stored.stale && tidy };
+                let due = if urgent {
+                    m.stored.dirty
+                } else {
+                    m.stored.stale && tidy
+                };
                 let (true, Some(version), false) = (due, m.stored.version, m.stored.writing) else {
                     continue;
                 };
@@ -1063,7 +1161,10 @@
                     (None, Item::MachineGone { id: id.clone() })
                 } else {
                     let attempts = m.placements.iter().map(|p| p.attempt).collect();
-                    let item = Item::Machine { id: id.clone(), attempts };
+                    let item = Item::Machine {
+                        id: id.clone(),
+                        attempts,
+                    };
                     (Some(Value::Machine(m.record())), item)
                 };
                 if add(machine_key(id), version, value, item) {
@@ -1092,7 +1193,14 @@
         self.flushing = true;
         let wait = k::STATE_TIMEOUT_MS;
         let call = Call::Flush { items };
-        ctx.call(call, Target::State, "POST", "/multi".into(), encode(&txn), wait);
+        ctx.call(
+            call,
+            Target::State,
+            "POST",
+            "/multi".into(),
+            encode(&txn),
+            wait,
+        );
     }
 
     fn stored_of(&mut self, item: &Item) -> Option<&mut Stored> {
@@ -1141,7 +1249,9 @@
                 }
             },
             Ok((409, body)) => {
-                let failed = decode::<TxnAnswer>(&body).map(|a| a.failed).unwrap_or_default();
+                let failed = decode::<TxnAnswer>(&body)
+                    .map(|a| a.failed)
+                    .unwrap_or_default();
                 if failed.iter().any(|f| f == LEADER) {
                     log::warn!("term {}: the leader key is no longer ours", self.term);
                     self.deposed = true;
@@ -1163,7 +1273,10 @@
                 self.flush_at = now + k::STATE_RETRY_MS;
             }
             Ok((status, body)) => {
-                log::error!("transaction refused: {status} {}", String::from_utf8_lossy(&body));
+                log::error!(
+                    "transaction refused: {status} {}",
+                    String::from_utf8_lossy(&body)
+                );
                 self.unflush(&items);
                 self.flush_at = now + k::STATE_RETRY_MAX_MS;
             }
@@ -1209,8 +1322,11 @@
                 Item::End { job, exits } => {
                     settled.extend(exits);
                     if let Some(j) = ctx.replica.jobs.get(&job) {
-                        let record =
-                            JobRecord { spec: None, end: Some(End::Done), ..j.record.clone() };
+                        let record = JobRecord {
+                            spec: None,
+                            end: Some(End::Done),
+                            ..j.record.clone()
+                        };
                         ctx.replica.put_job(&job, record, revision);
                     }
                     log::info!("job {job} done");
@@ -1234,11 +1350,18 @@
             .machines
             .values()
             .find(|m| m.stored.version.is_none())
-            .map(|m| Item::Machine { id: m.id.clone(), attempts: vec![] });
+            .map(|m| Item::Machine {
+                id: m.id.clone(),
+                attempts: vec![],
+            });
         let done = || {
             self.works.iter().find_map(|(id, w)| {
                 let (chunk, _) = w.chunks.iter().find(|(_, c)| c.stored.version.is_none())?;
-                Some(Item::Done { job: id.clone(), chunk: *chunk, exits: vec![] })
+                Some(Item::Done {
+                    job: id.clone(),
+                    chunk: *chunk,
+                    exits: vec![],
+                })
             })
         };
         let dropped = || {
@@ -1252,7 +1375,14 @@
             self.rereading = true;
             let path = format!("/kv/{}", item_key(&item));
             let wait = k::STATE_TIMEOUT_MS;
-            ctx.call(Call::Reread { item }, Target::State, "GET", path, vec![], wait);
+            ctx.call(
+                Call::Reread { item },
+                Target::State,
+                "GET",
+                path,
+                vec![],
+                wait,
+            );
         }
         true
     }
@@ -1290,7 +1420,11 @@
             Call::Load { .. } => self.loaded(ctx, result),
             Call::Flush { items } => self.flushed(ctx, items, result),
             Call::Reread { item } => self.reread_done(ctx, item, result),
-            Call::Do { machine, session, runs } => {
+            Call::Do {
+                machine,
+                session,
+                runs,
+            } => {
                 self.done_do(ctx, &machine, session, runs, result);
             }
             Call::Fleet(c) => self.fleet_done(ctx, c, result),
@@ -1324,11 +1458,7 @@
 }
 
 /// Which tasks a job may have where, given its others.
-pub fn zone_allows(
-    machines: &BTreeMap<String, Machine>,
-    work: &Work,
-    zone: &str,
-) -> bool {
+pub fn zone_allows(machines: &BTreeMap<String, Machine>, work: &Work, zone: &str) -> bool {
     let spec = &work.spec;
     if spec.zone.as_ref().is_some_and(|z| z != zone) {
         return false;
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -20,7 +20,10 @@
     Running,
     Saving,
     /// Not on the machine any more. `settled`: what follows from it is stored.
-    Exited { cause: ExitCause, settled: bool },
+    Exited {
+        cause: ExitCause,
+        settled: bool,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -54,7 +57,13 @@
 
     pub fn set_phase(&mut self, to: Phase) {
         if self.phase != to {
-            log::trace!("{}#{} {:?} -> {:?}", self.task(), self.attempt, self.phase, to);
+            log::trace!(
+                "{}#{} {:?} -> {:?}",
+                self.task(),
+                self.attempt,
+                self.phase,
+                to
+            );
             self.phase = to;
         }
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -22,13 +22,20 @@
 pub enum Role {
     Follower,
     /// No leader is known; waits a little so that not all stand at once.
-    Waiting { until: Ms },
+    Waiting {
+        until: Ms,
+    },
     /// Has asked for a lease.
     Granting,
     /// Has sent the claim.
-    Claiming { lease: u64 },
+    Claiming {
+        lease: u64,
+    },
     /// The claim went unanswered; the next read tells.
-    Checking { lease: u64, until: Ms },
+    Checking {
+        lease: u64,
+        until: Ms,
+    },
     Leading,
 }
 
@@ -734,9 +741,7 @@
         }
         match asks {
             None if self.healthy() => self.out.reply(id, 200, None, &Health { ready: true }),
-            None => self
-                .out
-                .error(id, 503, Some(k::RETRY_STATE_S), "not ready"),
+            None => self.out.error(id, 503, Some(k::RETRY_STATE_S), "not ready"),
             Some(Err((status, why))) => self.out.error(id, status, None, &why),
             Some(Ok(ask)) => self.ask(id, ask),
         }
@@ -803,9 +808,12 @@
             return self.wait(p);
         }
         let Some(catalog) = &self.catalog else {
-            return self
-                .out
-                .error(id, 503, Some(k::RETRY_BUSY_S), "machine types not known yet");
+            return self.out.error(
+                id,
+                503,
+                Some(k::RETRY_BUSY_S),
+                "machine types not known yet",
+            );
         };
         if self.sync != Sync::Live || self.state_out() {
             return self.refuse(id);
@@ -1090,16 +1098,13 @@
         }
         self.higher_term = self.higher_term.max(report.token);
         let Some((l, _)) = &self.replica.leader else {
-            return self
-                .out
-                .error(id, 503, Some(k::RETRY_STATE_S), "no leader");
+            return self.out.error(id, 503, Some(k::RETRY_STATE_S), "no leader");
         };
         let node = l.node.clone();
         let link = self.set.peers.iter().position(|p| *p == node);
         match link {
             Some(i)
-                if self.peers[i].up
-                    && self.now.ms < self.peers[i].heard + k::PEER_SILENT_MS =>
+                if self.peers[i].up && self.now.ms < self.peers[i].heard + k::PEER_SILENT_MS =>
             {
                 self.next_relay += 1;
                 let request = self.next_relay;
@@ -1110,7 +1115,9 @@
                     frame: Frame::Report { request, body },
                 });
             }
-            Some(_) => self.out.reply(id, 421, None, &ReportTo { node: Some(node) }),
+            Some(_) => self
+                .out
+                .reply(id, 421, None, &ReportTo { node: Some(node) }),
             None => self.out.reply(id, 421, None, &ReportTo { node: None }),
         }
     }
@@ -1130,11 +1137,7 @@
 
     fn hello(&mut self, to: Link) {
         let hello = Hello {
-            term: self
-                .replica
-                .highest_term
-                .max(self.higher_term)
-                .into(),
+            term: self.replica.highest_term.max(self.higher_term).into(),
             leads: u8::from(self.role == Role::Leading),
             state_ok: u8::from(self.sync == Sync::Live && self.state_failed_at.is_none()),
             name: frame::name(&self.set.node),
--- a/crates/control/src/records.rs
+++ b/crates/control/src/records.rs
@@ -123,7 +123,9 @@
     /// The part from task `first`, `tasks` long (both multiples of 8 but the last).
     pub fn encode(&self, first: u32, tasks: u32) -> String {
         let from = (first as usize / 8).min(self.0.len());
-        let to = (first as usize + tasks as usize).div_ceil(8).min(self.0.len());
+        let to = (first as usize + tasks as usize)
+            .div_ceil(8)
+            .min(self.0.len());
         STANDARD_NO_PAD.encode(&self.0[from..to])
     }
 
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -100,7 +100,9 @@
             return false;
         };
         let (c, g, mem) = m.free(kind);
-        c + k::EPSILON >= spec.cpus && g + k::EPSILON >= spec.gpus && mem + k::EPSILON >= spec.memory_gb
+        c + k::EPSILON >= spec.cpus
+            && g + k::EPSILON >= spec.gpus
+            && mem + k::EPSILON >= spec.memory_gb
     }
 
     fn teams<'a>(&self, ctx: &Ctx<'a>) -> Teams<'a> {
@@ -131,7 +133,9 @@
     /// Starts held tasks for which room has become free.
     pub fn promote(&mut self, ctx: &Ctx, id: &str) {
         loop {
-            let Some(m) = self.machines.get(id) else { return };
+            let Some(m) = self.machines.get(id) else {
+                return;
+            };
             let Some((job, index)) = m.held.first().cloned() else {
                 return;
             };
@@ -161,7 +165,9 @@
                 if urgent {
                     immediate(w) && w.urgent()
                 } else {
-                    immediate(w) || w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0) || !w.dropped.is_empty()
+                    immediate(w)
+                        || w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0)
+                        || !w.dropped.is_empty()
                 }
             })
             .map(|(id, w)| {
@@ -189,7 +195,9 @@
                     .machines
                     .values()
                     .filter(|m| {
-                        (m.held.is_empty() || urgent) && self.room(m, &spec) && self.usable(ctx, m, w)
+                        (m.held.is_empty() || urgent)
+                            && self.room(m, &spec)
+                            && self.usable(ctx, m, w)
                     })
                     .min_by(|a, b| {
                         let key = |m: &Machine| {
@@ -267,18 +275,27 @@
                 best = Some((cost, m.id.clone(), stops));
             }
         }
-        let Some((cost, id, stops)) = best else { return };
+        let Some((cost, id, stops)) = best else {
+            return;
+        };
         let claim = claimed.entry(id.clone()).or_default();
         claim.0 += spec.cpus;
         claim.1 += spec.gpus;
         claim.2 += spec.memory_gb;
         if !stops.is_empty() {
-            log::info!("{job} pushes {} tasks aside on {id}, {cost} ms lost", stops.len());
+            log::info!(
+                "{job} pushes {} tasks aside on {id}, {cost} ms lost",
+                stops.len()
+            );
         }
         let Some(m) = self.machines.get_mut(&id) else {
             return;
         };
-        for p in m.placements.iter_mut().filter(|p| stops.contains(&p.attempt)) {
+        for p in m
+            .placements
+            .iter_mut()
+            .filter(|p| stops.contains(&p.attempt))
+        {
             let saves = self.works.get(&p.job).map_or(0.0, |v| {
                 if v.spec.checkpoint_s > 0.0 {
                     v.spec.save_s + k::WIND_DOWN_MARGIN_S
@@ -355,7 +372,9 @@
                 .filter(|c| c.best.as_ref().is_some_and(|b| b.1.chance >= old))
                 .map(|c| c.left)
                 .sum();
-            self.sched.pruner.adjust(waiting, free_slots, passing, robustness);
+            self.sched
+                .pruner
+                .adjust(waiting, free_slots, passing, robustness);
             self.sched.pruner.deferring
         };
         loop {
@@ -384,7 +403,9 @@
                 c.best = None;
                 continue;
             };
-            let Some(w) = self.works.get(&c.job) else { break };
+            let Some(w) = self.works.get(&c.job) else {
+                break;
+            };
             let next = w.pending.iter().find(|n| !w.dropped.contains(n)).copied();
             let Some(index) = next else {
                 c.left = 0;
@@ -392,7 +413,10 @@
             };
             c.left -= 1;
             let fetch = self.fetch_s(&id, &spec);
-            let kind = self.machines.get(&id).map_or(String::new(), |m| m.kind.clone());
+            let kind = self
+                .machines
+                .get(&id)
+                .map_or(String::new(), |m| m.kind.clone());
             let run = self.sched.runs(&spec, &kind).run().clone();
             let end = match &start.curve {
                 None => run.shift(fetch),
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -6,9 +6,15 @@
 #[derive(Debug, PartialEq)]
 pub(crate) enum Role {
     /// A user or worker; `busy` while a request of theirs is with the core.
-    Server { busy: bool, close: bool },
+    Server {
+        busy: bool,
+        close: bool,
+    },
     /// A call of ours, or an idle connection kept for the next one.
-    Client { addr: String, call: Option<u64> },
+    Client {
+        addr: String,
+        call: Option<u64>,
+    },
     PeerIn,
     PeerOut(usize),
 }
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -26,9 +26,18 @@
 
 #[derive(Debug)]
 pub enum NetEvent {
-    Request { id: u64, request: Request },
-    CallDone { call: u64, result: Result<(u16, Vec<u8>), Failed> },
-    Frame { from: Link, frame: Frame },
+    Request {
+        id: u64,
+        request: Request,
+    },
+    CallDone {
+        call: u64,
+        result: Result<(u16, Vec<u8>), Failed>,
+    },
+    Frame {
+        from: Link,
+        frame: Frame,
+    },
     LinkUp(Link),
     LinkDown(Link),
 }
@@ -167,14 +176,25 @@
         self.serve(key);
     }
 
-    pub fn call(&mut self, call: u64, addr: &str, method: &str, path: &str, body: &[u8], wait: u64) {
+    pub fn call(
+        &mut self,
+        call: u64,
+        addr: &str,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        wait: u64,
+    ) {
         let now = self.now();
         let kept = self.idle.get_mut(addr).and_then(Vec::pop);
         let key = match kept {
             Some(key) => key,
             None => match connect(addr) {
                 Ok(stream) => {
-                    let role = Role::Client { addr: addr.into(), call: None };
+                    let role = Role::Client {
+                        addr: addr.into(),
+                        call: None,
+                    };
                     let mut c = Conn::new(stream, role, 0);
                     c.connecting = true;
                     match self.add(c) {
@@ -191,7 +211,10 @@
         let Some(c) = self.conns.get_mut(&key) else {
             return self.failed(call, Failed::NotSent);
         };
-        c.role = Role::Client { addr: addr.into(), call: Some(call) };
+        c.role = Role::Client {
+            addr: addr.into(),
+            call: Some(call),
+        };
         c.deadline = now + wait;
         c.sent = 0;
         c.input.clear();
@@ -228,9 +251,16 @@
     fn add(&mut self, c: Conn) -> Option<usize> {
         let key = self.next;
         self.next += 1;
-        let interest = if c.connecting { Event::all(key) } else { Event::readable(key) };
+        let interest = if c.connecting {
+            Event::all(key)
+        } else {
+            Event::readable(key)
+        };
         // Safe: `close` takes the stream out of the poller before it is dropped.
-        let added = unsafe { self.poller.add_with_mode(&c.stream, interest, PollMode::Level) };
+        let added = unsafe {
+            self.poller
+                .add_with_mode(&c.stream, interest, PollMode::Level)
+        };
         if let Err(e) = added {
             log::warn!("cannot poll a socket: {e}");
             return None;
@@ -255,11 +285,18 @@
                     let _ = stream.set_nonblocking(true);
                     let _ = stream.set_nodelay(true);
                     let role = if user {
-                        Role::Server { busy: false, close: false }
+                        Role::Server {
+                            busy: false,
+                            close: false,
+                        }
                     } else {
                         Role::PeerIn
                     };
-                    if self.add(Conn::new(stream, role, now + k::IDLE_MS)).is_some() && user {
+                    if self
+                        .add(Conn::new(stream, role, now + k::IDLE_MS))
+                        .is_some()
+                        && user
+                    {
                         self.servers += 1;
                     }
                 }
@@ -277,7 +314,10 @@
     }
 
     fn failed(&mut self, call: u64, why: Failed) {
-        self.out.push(NetEvent::CallDone { call, result: Err(why) });
+        self.out.push(NetEvent::CallDone {
+            call,
+            result: Err(why),
+        });
     }
 
     fn close(&mut self, key: usize) {
@@ -326,12 +366,22 @@
             return self.close(key);
         }
         let left = !c.output.is_empty();
-        if !left && c.role == (Role::Server { busy: false, close: true }) {
+        if !left
+            && c.role
+                == (Role::Server {
+                    busy: false,
+                    close: true,
+                })
+        {
             return self.close(key);
         }
         if left != c.wants_write {
             c.wants_write = left;
-            let interest = if left { Event::all(key) } else { Event::readable(key) };
+            let interest = if left {
+                Event::all(key)
+            } else {
+                Event::readable(key)
+            };
             if self
                 .poller
                 .modify_with_mode(&c.stream, interest, PollMode::Level)
@@ -411,11 +461,16 @@
                 c.asked_at = now;
                 let user = request.path.starts_with("/submissions");
                 if user && !self.admission.enter() {
-                    let body = encode(&ErrorBody { error: "too many requests in progress".into() });
+                    let body = encode(&ErrorBody {
+                        error: "too many requests in progress".into(),
+                    });
                     return self.reply(key as u64, 429, Some(k::RETRY_BUSY_S), &body);
                 }
                 c.counted = user;
-                self.out.push(NetEvent::Request { id: key as u64, request });
+                self.out.push(NetEvent::Request {
+                    id: key as u64,
+                    request,
+                });
             }
             Err(e) => self.reject(key, e),
         }
@@ -425,9 +480,14 @@
         let Some(c) = self.conns.get_mut(&key) else {
             return;
         };
-        let body = encode(&ErrorBody { error: format!("{e:?}") });
+        let body = encode(&ErrorBody {
+            error: format!("{e:?}"),
+        });
         c.input.clear();
-        c.role = Role::Server { busy: false, close: true };
+        c.role = Role::Server {
+            busy: false,
+            close: true,
+        };
         http::write_response(&mut c.output, e.status(), None, true, &body);
         self.push(key);
     }
--- a/crates/sched/src/pam.rs
+++ b/crates/sched/src/pam.rs
@@ -16,7 +16,13 @@
 impl Slot {
     pub fn new(end: Curve, cpus: f64, gpus: f64, memory: f64) -> Slot {
         let mean = end.mean();
-        Slot { end, mean, cpus, gpus, memory }
+        Slot {
+            end,
+            mean,
+            cpus,
+            gpus,
+            memory,
+        }
     }
 }
 
@@ -39,7 +45,9 @@
 
 impl Queue {
     pub fn fits_now(&self, cpus: f64, gpus: f64, memory: f64) -> bool {
-        self.cpus + EPSILON >= cpus && self.gpus + EPSILON >= gpus && self.memory + EPSILON >= memory
+        self.cpus + EPSILON >= cpus
+            && self.gpus + EPSILON >= gpus
+            && self.memory + EPSILON >= memory
     }
 
     /// When room for such a task will be free: now if there is room and nobody waits for it,
@@ -47,7 +55,10 @@
     /// if the queue already holds its two.
     pub fn start(&self, cpus: f64, gpus: f64, memory: f64) -> Option<Start> {
         if self.fits_now(cpus, gpus, memory) && self.held == 0 {
-            return Some(Start { curve: None, used: 0 });
+            return Some(Start {
+                curve: None,
+                used: 0,
+            });
         }
         if self.held >= HELD {
             return None;
@@ -119,7 +130,11 @@
     use super::*;
 
     fn busy() -> Queue {
-        let mut q = Queue { cpus: 1.0, memory: 8.0, ..Queue::default() };
+        let mut q = Queue {
+            cpus: 1.0,
+            memory: 8.0,
+            ..Queue::default()
+        };
         q.slots.push(Slot::new(Curve::at(12.0), 2.0, 0.0, 4.0));
         q.slots.push(Slot::new(Curve::at(30.0), 1.0, 0.0, 4.0));
         q
@@ -149,8 +164,16 @@
     #[test]
     fn best_chance_first_then_soonest_finish() {
         let (a, b) = (
-            Offer { chance: 0.9, finish: 50.0, spare: 0.0 },
-            Offer { chance: 0.5, finish: 10.0, spare: 0.0 },
+            Offer {
+                chance: 0.9,
+                finish: 50.0,
+                spare: 0.0,
+            },
+            Offer {
+                chance: 0.5,
+                finish: 10.0,
+                spare: 0.0,
+            },
         );
         assert!(a.beats(&b) && !b.beats(&a));
         assert_eq!(soonest([(1, a), (2, b)].into_iter()).unwrap().0, 2);
--- a/crates/sched/src/runtimes.rs
+++ b/crates/sched/src/runtimes.rs
@@ -34,7 +34,8 @@
     }
 
     pub fn record(&mut self, run_s: f64) {
-        self.histogram.saturating_record_n(ms(run_s), OBSERVED_WEIGHT as u32 as u64 as _);
+        self.histogram
+            .saturating_record_n(ms(run_s), OBSERVED_WEIGHT as u32 as u64 as _);
         self.observed += 1;
         self.fresh = false;
     }
--- a/crates/stonegwd/src/main.rs
+++ b/crates/stonegwd/src/main.rs
@@ -61,7 +61,12 @@
         state,
     } = loaded;
     log::info!("{} starts", core.node);
-    let mut net = Net::new(client_listen, cluster_listen, peer_endpoints, core.max_sockets)?;
+    let mut net = Net::new(
+        client_listen,
+        cluster_listen,
+        peer_endpoints,
+        core.max_sockets,
+    )?;
     let mut node = Node::new(core, rand::rngs::SmallRng::from_os_rng().random());
     let mut events = vec![Event::Start];
     loop {
--- a/crates/stonegwd/src/settings.rs
+++ b/crates/stonegwd/src/settings.rs
@@ -101,7 +101,11 @@
 
 fn one_line(text: impl ToString) -> String {
     let text = text.to_string();
-    let parts: Vec<&str> = text.lines().map(str::trim).filter(|l| !l.is_empty()).collect();
+    let parts: Vec<&str> = text
+        .lines()
+        .map(str::trim)
+        .filter(|l| !l.is_empty())
+        .collect();
     parts.join(" ")
 }
 
@@ -114,14 +118,14 @@
     if value.is_finite() && value >= least && value <= most {
         Ok(value)
     } else {
-        Err(format!("{field}: must be from {least} to {most}, not {value}"))
+        Err(format!(
+            "{field}: must be from {least} to {most}, not {value}"
+        ))
     }
 }
 
 pub fn load(config: &Path, tuning: Option<&Path>) -> Result<Loaded, String> {
-    let read = |p: &Path| {
-        std::fs::read_to_string(p).map_err(|e| format!("{}: {e}", p.display()))
-    };
+    let read = |p: &Path| std::fs::read_to_string(p).map_err(|e| format!("{}: {e}", p.display()));
     let tuning = match tuning {
         Some(p) => operators(&read(p)?).map_err(|e| format!("{}: {e}", p.display()))?,
         None => Tuning::default(),
@@ -158,13 +162,19 @@
     for k in &p.known {
         address("known.endpoint", &k.endpoint)?;
         if k.node.is_empty() || k.node == p.node {
-            return Err(format!("known.node: must name another node, not {:?}", k.node));
+            return Err(format!(
+                "known.node: must name another node, not {:?}",
+                k.node
+            ));
         }
     }
     let mut teams = vec![];
     for t in std::mem::take(&mut p.deployment.teams) {
         if t.name.is_empty() || teams.iter().any(|o: &Team| o.name == t.name) {
-            return Err(format!("deployment.teams.name: must be unique, not {:?}", t.name));
+            return Err(format!(
+                "deployment.teams.name: must be unique, not {:?}",
+                t.name
+            ));
         }
         teams.push(Team {
             cpus: within("deployment.teams.cpus", t.cpus, 0.0, 1e9)?,
@@ -186,18 +196,42 @@
         peers: p.known.iter().map(|k| k.node.clone()).collect(),
         zones: d.zones.clone(),
         teams,
-        report_s: within("deployment.workers.report_s", d.workers.report_s, 0.1, 3600.0)?,
-        lease_s: within("deployment.workers.lease_s", d.workers.lease_s, 0.5, 86_400.0)?,
-        cancel_s: within("deployment.workers.cancel_s", d.workers.cancel_s, 0.5, 86_400.0)?,
+        report_s: within(
+            "deployment.workers.report_s",
+            d.workers.report_s,
+            0.1,
+            3600.0,
+        )?,
+        lease_s: within(
+            "deployment.workers.lease_s",
+            d.workers.lease_s,
+            0.5,
+            86_400.0,
+        )?,
+        cancel_s: within(
+            "deployment.workers.cancel_s",
+            d.workers.cancel_s,
+            0.5,
+            86_400.0,
+        )?,
         state_rps: within("deployment.state.rps", d.state.rps, 1.0, 1e6)?,
         state_write_rps: within("deployment.state.write_rps", d.state.write_rps, 1.0, 1e6)?,
         value_bytes: (within("deployment.state.value_kb", d.state.value_kb, 1.0, 1e6)? * 1024.0)
             as usize,
         txn_ops: d.state.txn_ops,
         cloud_rps: within("deployment.cloud.rps", d.cloud.rps, 0.01, 1e6)?,
-        list_lag_s: within("deployment.cloud.list_lag_s", d.cloud.list_lag_s, 0.0, 3600.0)?,
-        max_sockets: within("deployment.limits.max_sockets", d.limits.max_sockets, 32.0, 1e7)?
-            as usize,
+        list_lag_s: within(
+            "deployment.cloud.list_lag_s",
+            d.cloud.list_lag_s,
+            0.0,
+            3600.0,
+        )?,
+        max_sockets: within(
+            "deployment.limits.max_sockets",
+            d.limits.max_sockets,
+            32.0,
+            1e7,
+        )? as usize,
         tuning,
     };
     Ok(Loaded {
@@ -255,7 +289,11 @@
         for (from, to, field) in [
             ("node = \"a\"", "node = \"\"", "node"),
             ("rps = 150.0", "rps = -1.0", "deployment.state.rps"),
-            ("lease_s = 24.0", "lease_s = nan", "deployment.workers.lease_s"),
+            (
+                "lease_s = 24.0",
+                "lease_s = nan",
+                "deployment.workers.lease_s",
+            ),
             ("txn_ops = 32", "txn_ops = 0", "deployment.state.txn_ops"),
             ("10.2.0.1:2379", "state:2379", "external.state"),
             ("report_s = 3.0", "", "report_s"),
@@ -272,7 +310,9 @@
         let t = operators("spare_tasks = 4\nidle_return_s = 10.5\n").unwrap();
         assert_eq!((t.spare_tasks, t.idle_return_ms), (4.0, 10_500));
         assert!(operators("spare_task = 4\n").is_err());
-        assert!(operators("slack_use = 0\n").unwrap_err().contains("slack_use"));
+        assert!(operators("slack_use = 0\n")
+            .unwrap_err()
+            .contains("slack_use"));
         assert_eq!(operators("").unwrap().map_ms, Tuning::default().map_ms);
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -20,7 +20,9 @@
 pub const HEADER: usize = size_of::<Header>();
 
 /// Sent on connecting and every second: who speaks, the highest term known, how it is.
-#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq)]
+#[derive(
+    FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq,
+)]
 #[repr(C)]
 pub struct Hello {
     pub term: U64,
@@ -30,7 +32,9 @@
 }
 
 /// Head of a relayed report or its answer; the message body follows.
-#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq)]
+#[derive(
+    FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq,
+)]
 #[repr(C)]
 pub struct Relay {
     pub request: U64,
@@ -38,7 +42,9 @@
 }
 
 /// Counts for display of one job; a frame carries any number of these.
-#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq)]
+#[derive(
+    FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq,
+)]
 #[repr(C)]
 pub struct Counts {
     pub job: [u8; 24],
@@ -49,8 +55,15 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Frame {
     Hello(Hello),
-    Report { request: u64, body: Vec<u8> },
-    Answer { request: u64, status: u16, body: Vec<u8> },
+    Report {
+        request: u64,
+        body: Vec<u8>,
+    },
+    Answer {
+        request: u64,
+        status: u16,
+        body: Vec<u8>,
+    },
     Counts(Vec<Counts>),
 }
 
@@ -89,13 +102,23 @@
                 HELLO
             }
             Frame::Report { request, body } => {
-                let head = Relay { request: (*request).into(), status: 0.into() };
+                let head = Relay {
+                    request: (*request).into(),
+                    status: 0.into(),
+                };
                 out.extend_from_slice(head.as_bytes());
                 out.extend_from_slice(body);
                 REPORT
             }
-            Frame::Answer { request, status, body } => {
-                let head = Relay { request: (*request).into(), status: (*status).into() };
+            Frame::Answer {
+                request,
+                status,
+                body,
+            } => {
+                let head = Relay {
+                    request: (*request).into(),
+                    status: (*status).into(),
+                };
                 out.extend_from_slice(head.as_bytes());
                 out.extend_from_slice(body);
                 ANSWER
@@ -148,7 +171,11 @@
                 if kind == REPORT {
                     Frame::Report { request, body }
                 } else {
-                    Frame::Answer { request, status: r.status.get(), body }
+                    Frame::Answer {
+                        request,
+                        status: r.status.get(),
+                        body,
+                    }
                 }
             }
         };
@@ -161,11 +188,27 @@
     use super::*;
 
     fn samples() -> Vec<Frame> {
-        let counts = Counts { job: name("run-1"), done: 3.into(), running: 4.into() };
+        let counts = Counts {
+            job: name("run-1"),
+            done: 3.into(),
+            running: 4.into(),
+        };
         vec![
-            Frame::Hello(Hello { term: 7.into(), leads: 1, state_ok: 0, name: name("hearth-1") }),
-            Frame::Report { request: 9, body: vec![1, 2, 3] },
-            Frame::Answer { request: 9, status: 200, body: vec![] },
+            Frame::Hello(Hello {
+                term: 7.into(),
+                leads: 1,
+                state_ok: 0,
+                name: name("hearth-1"),
+            }),
+            Frame::Report {
+                request: 9,
+                body: vec![1, 2, 3],
+            },
+            Frame::Answer {
+                request: 9,
+                status: 200,
+                body: vec![],
+            },
             Frame::Counts(vec![counts, counts]),
         ]
     }
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -111,10 +111,7 @@
 }
 
 /// Returns the request and how many bytes it took.
-pub fn parse_request(
-    buf: &[u8],
-    max_body: usize,
-) -> Result<Option<(Request, usize)>, HttpError> {
+pub fn parse_request(buf: &[u8], max_body: usize) -> Result<Option<(Request, usize)>, HttpError> {
     let Some(h) = head(buf, max_body)? else {
         return Ok(None);
     };
@@ -147,10 +144,7 @@
 }
 
 /// Returns the response and how many bytes it took. A missing length means an empty body.
-pub fn parse_response(
-    buf: &[u8],
-    max_body: usize,
-) -> Result<Option<(Response, usize)>, HttpError> {
+pub fn parse_response(buf: &[u8], max_body: usize) -> Result<Option<(Response, usize)>, HttpError> {
     let Some(h) = head(buf, max_body)? else {
         return Ok(None);
     };
@@ -247,7 +241,10 @@
         let mut raw = Vec::new();
         write_response(&mut raw, 503, Some(2), true, b"abc");
         let (r, n) = parse_response(&raw, 100).unwrap().unwrap();
-        assert_eq!((r.status, r.close, r.body.as_slice(), n), (503, true, &b"abc"[..], raw.len()));
+        assert_eq!(
+            (r.status, r.close, r.body.as_slice(), n),
+            (503, true, &b"abc"[..], raw.len())
+        );
         for cut in 0..raw.len() {
             assert_eq!(parse_response(&raw[..cut], 100), Ok(None), "cut at {cut}");
         }
@@ -256,7 +253,10 @@
     #[test]
     fn bad_heads_get_their_status() {
         let long = format!("GET / HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(MAX_HEAD));
-        let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MAX_HEADERS + 1));
+        let many = format!(
+            "GET / HTTP/1.1\r\n{}\r\n",
+            "A: b\r\n".repeat(MAX_HEADERS + 1)
+        );
         for (raw, status) in [
             ("GET /\r\n\r\n", 400),
             ("get / HTTP/1.1\r\n\r\n", 400),
@@ -265,11 +265,17 @@
             ("GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
             ("GET / HTTP/1.1\r\n A: folded\r\n\r\n", 400),
             ("GET / HTTP/1.1\r\nContent-Length: +4\r\n\r\n", 400),
-            ("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+            (
+                "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+                400,
+            ),
             ("POST / HTTP/1.1\r\n\r\n", 411),
             ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
             ("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", 413),
-            ("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 413),
+            (
+                "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+                413,
+            ),
             (&long, 431),
             (&many, 431),
         ] {
