--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1121,7 +1121,7 @@
                     job: id.clone(),
                     exits: exits(None),
                 };
-                if add(job_key(id), j.version, Some(Value::Job(record)), item) {
+                if add(job_key(id), j.version, Some(Value::Job(Box::new(record))), item) {
                     w.ending = true;
                 }
                 continue;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -933,7 +933,7 @@
             });
             txn.writes.push(Write::Put {
                 key,
-                value: Value::Job(record),
+                value: Value::Job(Box::new(record)),
                 lease: None,
             });
             keys.insert(job);
--- a/crates/control/src/records.rs
+++ b/crates/control/src/records.rs
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Common {
-    Job(JobRecord),
+    Job(Box<JobRecord>),
     Leader(LeaderRecord),
 }
 
@@ -93,7 +93,7 @@
 #[serde(untagged)]
 pub enum Value {
     Leader(LeaderRecord),
-    Job(JobRecord),
+    Job(Box<JobRecord>),
     Machine(MachineRecord),
     Done(DoneRecord),
 }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -35,7 +35,7 @@
             }
             Common::Job(record) => {
                 if let Some(id) = key.strip_prefix(JOBS) {
-                    self.put_job(id, record, version);
+                    self.put_job(id, *record, version);
                 }
             }
             Common::Leader(_) => log::warn!("unexpected record at {key}"),
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -178,8 +178,7 @@
         order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
         let mut claimed: HashMap<String, (f64, f64, f64)> = HashMap::new();
         for (_, _, job) in order {
-            loop {
-                let Some(w) = self.works.get(&job) else { break };
+            while let Some(w) = self.works.get(&job) {
                 let late = w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0);
                 let index = if immediate(w) || late {
                     w.pending.front().copied()
