Stand-ins and kept traces; the state service's return is noticed at once

Cause: after an outage a follower's watch hung up to 20 s, and requests were refused until some call succeeded. A probe now reads every 0.3 s while the state service counts as away, and the leader reads at least every 2 s. Found by the trace cancel_races_a_start.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -72,6 +72,11 @@
 pub const STATE_RETRY_MAX_MS: u64 = 1_500;
 /// ms between two read barriers at least: bounds their share of the request budget.
 pub const BARRIER_GAP_MS: u64 = 60;
+/// ms between probes of a state service that did not answer.
+pub const STATE_PROBE_MS: u64 = 300;
+/// ms after which the leader reads the changes even if its watch tells none: bounds how late
+/// it learns of a cancel.
+pub const LEADER_SYNC_MS: u64 = 2_000;
 /// ms a poll, submission or cancel waits for the state service before 503; users wait 2 s for
 /// a poll and 5 s for a submission.
 pub const POLL_PATIENCE_MS: u64 = 1_600;
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1121,7 +1121,12 @@
                     job: id.clone(),
                     exits: exits(None),
                 };
-                if add(job_key(id), j.version, Some(Value::Job(Box::new(record))), item) {
+                if add(
+                    job_key(id),
+                    j.version,
+                    Some(Value::Job(Box::new(record))),
+                    item,
+                ) {
                     w.ending = true;
                 }
                 continue;
@@ -1443,7 +1448,7 @@
 
 fn phase_of(t: &TaskReport) -> Phase {
     match t.state {
-        TaskState::Fetching | TaskState::Waiting => Phase::Fetching,
+        TaskState::Fetching | TaskState::Other => Phase::Fetching,
         TaskState::Running => Phase::Running,
         TaskState::Saving => Phase::Saving,
         TaskState::Exited => Phase::Exited {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -516,6 +516,8 @@
                 self.catalog_at = now + k::CLOUD_RETRY_MS;
                 return;
             }
+            // A watch that hangs says nothing: during an outage open watches wait.
+            Call::Watch if result.is_err() => {}
             _ => self.state_seen(&result),
         }
         match what {
@@ -852,7 +854,12 @@
                 );
             }
         }
-        if !self.waiting.is_empty()
+        // Without requests nothing else would notice that the state service is back: the watch
+        // may hang, and requests are refused meanwhile. The leader also must not miss a cancel
+        // because its watch hangs.
+        let probe = self.state_failed_at.is_some() && now >= self.barrier_at + k::STATE_PROBE_MS
+            || self.role == Role::Leading && now >= self.barrier_at + k::LEADER_SYNC_MS;
+        if (!self.waiting.is_empty() || probe)
             && self.sync == Sync::Live
             && self.barriers < 2
             && now >= self.barrier_at
@@ -865,7 +872,7 @@
                 .iter()
                 .map(|p| p.until - now)
                 .min()
-                .unwrap_or(0)
+                .unwrap_or(k::STATE_TIMEOUT_MS)
                 .max(100);
             let path = format!(
                 "/changes?prefix={COMMON}&since={}&holdMs=0",
--- /dev/null
+++ b/crates/testkit/src/sim.rs
@@ -0,0 +1,1038 @@
+//! The simulated world: time, messages, failures, and the rules of the protocol.
+use crate::outside::{addr_of, Cloud, Ms, State, Task, Worker};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use stonegw_control::api::{Action, CallError, Event, Link, Now, Target};
+use stonegw_control::node::{Node, Role};
+use stonegw_control::settings::{Settings, Team, Tuning};
+use stonegw_wire::http::Request;
+use stonegw_wire::msg::*;
+
+const STATE_MS: Ms = 5;
+const WIRE_MS: Ms = 1;
+const CLOUD_MS: Ms = 80;
+const REPORT_MS: Ms = 3_000;
+pub const LEASE_MS: Ms = 24_000;
+pub const CANCEL_MS: Ms = 54_000;
+const FETCH_MS: Ms = 1_000;
+const WORKER_PATIENCE_MS: Ms = 4_000;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Tick(usize, u64),
+    WorkerTurn(String),
+    /// A call arrives at its target.
+    Arrive {
+        node: usize,
+        life: u64,
+        call: u64,
+        target: Target,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+    },
+    /// Its answer arrives at the node.
+    Answer {
+        node: usize,
+        life: u64,
+        call: u64,
+        result: Result<(u16, Vec<u8>), CallError>,
+    },
+    Restart(usize),
+    Ask {
+        ask: u64,
+        node: usize,
+        request: Request,
+    },
+    Reply {
+        ask: u64,
+        status: u16,
+        body: Vec<u8>,
+    },
+    Frame {
+        to: usize,
+        life: u64,
+        from: Link,
+        frame: stonegw_wire::frame::Frame,
+    },
+    LinkUp(usize, u64, usize),
+    User(String),
+    Script(usize),
+    Wake,
+}
+
+struct Due(Ms, u64, Step);
+impl PartialEq for Due {
+    fn eq(&self, o: &Due) -> bool {
+        (self.0, self.1) == (o.0, o.1)
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, o: &Due) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, o: &Due) -> std::cmp::Ordering {
+        (o.0, o.1).cmp(&(self.0, self.1))
+    }
+}
+
+/// A failure that waits for its moment.
+#[derive(Clone, Debug)]
+pub enum Trap {
+    /// The process ends right before it sends, or right after the state service applied it.
+    CrashBefore(String),
+    CrashAfter(String),
+    /// The state service applies it, but the answer is lost.
+    LoseAnswer(String),
+    /// The transaction reaches the state service only so much later.
+    Delay(String, Ms),
+}
+
+/// What users know of a job.
+pub struct Job {
+    pub spec: JobSpec,
+    pub run_ms: Ms,
+    pub accepted: bool,
+    pub ended: Option<JobPhase>,
+    pub cancel_asked: bool,
+    pub cancelled_at: Option<Ms>,
+    pub finished: BTreeSet<u32>,
+    asking: Option<u64>,
+    pub status: u16,
+}
+
+enum Asker {
+    Worker(String),
+    Submit(String),
+    Poll(String),
+    Cancel(String),
+    Probe,
+}
+
+pub struct Sim {
+    pub now: Ms,
+    seq: u64,
+    queue: BinaryHeap<Due>,
+    pub nodes: Vec<Option<Node>>,
+    lives: Vec<u64>,
+    settings: Vec<Settings>,
+    pub state: State,
+    watches: Vec<(usize, u64, u64, String, u64, Ms)>,
+    pub cloud: Cloud,
+    pub workers: BTreeMap<String, Worker>,
+    pub jobs: BTreeMap<String, Job>,
+    asks: BTreeMap<u64, Asker>,
+    next_ask: u64,
+    open: BTreeMap<(usize, u64), u64>,
+    pub traps: Vec<Trap>,
+    /// Until when the state service answers 503, to one node or to all.
+    pub state_out: BTreeMap<usize, Ms>,
+    /// Until when a machine hears and says nothing; what is sent to it arrives afterwards.
+    pub cut: BTreeMap<String, Ms>,
+    /// Only direct commands to it are held back so long.
+    pub hold_do: BTreeMap<String, Ms>,
+    pub broken: Vec<String>,
+    pub log: Vec<String>,
+    script: Vec<(Ms, Vec<String>)>,
+    pub failures: Vec<String>,
+    turn: usize,
+}
+
+impl Sim {
+    pub fn new(nodes: usize) -> Sim {
+        let names: Vec<String> = (0..nodes).map(|i| format!("node-{i}")).collect();
+        let team = |name: &str, cpus: f64, cpus_max: f64| Team {
+            name: name.into(),
+            cpus,
+            cpus_max,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        };
+        let settings: Vec<Settings> = (0..nodes)
+            .map(|i| Settings {
+                node: names[i].clone(),
+                zone: "a".into(),
+                peers: names.iter().filter(|n| **n != names[i]).cloned().collect(),
+                zones: vec!["a".into(), "b".into()],
+                teams: vec![team("red", 8.0, 16.0), team("blue", 4.0, 4.0)],
+                report_s: REPORT_MS as f64 / 1e3,
+                lease_s: LEASE_MS as f64 / 1e3,
+                cancel_s: CANCEL_MS as f64 / 1e3,
+                state_rps: 150.0,
+                state_write_rps: 60.0,
+                value_bytes: 8 * 1024,
+                txn_ops: 8,
+                cloud_rps: 5.0,
+                list_lag_s: 4.0,
+                max_sockets: 1000,
+                tuning: Tuning {
+                    spare_tasks: 0.0,
+                    ..Tuning::default()
+                },
+            })
+            .collect();
+        let kind = |name: &str, zone: &str, price: f64| MachineType {
+            name: name.into(),
+            cpus: 4.0,
+            gpus: 0.0,
+            memory_gb: 16.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price,
+            spot_price: None,
+            boot_s: 10.0,
+            zones: vec![zone.into()],
+        };
+        let mut sim = Sim {
+            now: 0,
+            seq: 0,
+            queue: BinaryHeap::new(),
+            nodes: (0..nodes).map(|_| None).collect(),
+            lives: vec![0; nodes],
+            settings,
+            state: State::default(),
+            watches: vec![],
+            cloud: Cloud {
+                catalog: Catalog {
+                    types: vec![kind("small", "a", 1.0), kind("far", "b", 2.0)],
+                },
+                next: 0,
+                machines: BTreeMap::new(),
+                answered: BTreeMap::new(),
+                boot_ms: 10_000,
+                capacity: 20,
+            },
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            next_ask: 0,
+            open: BTreeMap::new(),
+            traps: vec![],
+            state_out: BTreeMap::new(),
+            cut: BTreeMap::new(),
+            hold_do: BTreeMap::new(),
+            broken: vec![],
+            log: vec![],
+            script: vec![],
+            failures: vec![],
+            turn: 0,
+        };
+        for i in 0..nodes {
+            sim.at(i as Ms * 20, Step::Restart(i));
+        }
+        sim
+    }
+
+    pub fn add_machine(&mut self, zone: &str) {
+        let kind = if zone == "a" { "small" } else { "far" };
+        let hire = Hire {
+            request: String::new(),
+            machine_type: kind.into(),
+            zone: zone.into(),
+            spot: false,
+            count: 1,
+        };
+        let now = self.now;
+        self.cloud.create(now, &hire, 0);
+        self.boot();
+    }
+
+    pub fn script(&mut self, lines: Vec<(Ms, Vec<String>)>) {
+        self.script = lines;
+        for i in 0..self.script.len() {
+            let at = self.script[i].0;
+            self.at(at, Step::Script(i));
+        }
+    }
+
+    fn at(&mut self, when: Ms, step: Step) {
+        self.seq += 1;
+        self.queue.push(Due(when, self.seq, step));
+    }
+
+    pub fn note(&mut self, text: String) {
+        self.log
+            .push(format!("{:9.3} {text}", self.now as f64 / 1e3));
+    }
+
+    fn broke(&mut self, text: String) {
+        self.note(format!("BROKEN {text}"));
+        self.broken.push(text);
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |n: &Option<Node>| n.as_ref().is_some_and(|n| n.role == Role::Leading);
+        self.nodes.iter().position(leads)
+    }
+
+    pub fn crash(&mut self, node: usize, back_ms: Ms) {
+        if self.nodes[node].take().is_some() {
+            self.note(format!("node-{node} ends"));
+            self.lives[node] += 1;
+            self.at(self.now + back_ms, Step::Restart(node));
+            for other in 0..self.nodes.len() {
+                if let Some(link) = self.link(other, node) {
+                    self.give(other, Event::LinkDown(Link::Out(link)));
+                }
+            }
+        }
+    }
+
+    /// The index under which `from` knows `to`.
+    fn link(&self, from: usize, to: usize) -> Option<usize> {
+        let name = &self.settings[to].node;
+        self.settings[from].peers.iter().position(|p| p == name)
+    }
+
+    pub fn run(&mut self, until: Ms) {
+        while let Some(Due(when, _, step)) = self.queue.pop() {
+            if when > until {
+                break;
+            }
+            self.now = when;
+            self.step(step);
+        }
+        self.now = until;
+    }
+
+    fn give(&mut self, node: usize, event: Event) {
+        let now = Now {
+            ms: self.now + 1,
+            wall_ms: 1_000_000 + self.now,
+        };
+        let Some(n) = self.nodes[node].as_mut() else {
+            return;
+        };
+        for action in n.handle(now, event) {
+            if self.nodes[node].is_none() {
+                return;
+            }
+            self.perform(node, action);
+        }
+    }
+
+    fn trapped(
+        &mut self,
+        path: &str,
+        body: &[u8],
+        pick: fn(&Trap) -> Option<&String>,
+    ) -> Option<Trap> {
+        if path != "/multi" {
+            return None;
+        }
+        let text = String::from_utf8_lossy(body).into_owned();
+        let at = self
+            .traps
+            .iter()
+            .position(|t| pick(t).is_some_and(|key| text.contains(key.as_str())))?;
+        Some(self.traps.remove(at))
+    }
+
+    fn perform(&mut self, node: usize, action: Action) {
+        let life = self.lives[node];
+        match action {
+            Action::Reply {
+                id, status, body, ..
+            } => {
+                self.at(
+                    self.now + WIRE_MS,
+                    Step::Reply {
+                        ask: id,
+                        status,
+                        body,
+                    },
+                );
+            }
+            Action::Send { to, frame } => {
+                let (other, from) = match to {
+                    Link::Out(i) => {
+                        let name = &self.settings[node].peers[i];
+                        let other = self
+                            .settings
+                            .iter()
+                            .position(|s| s.node == *name)
+                            .expect("known");
+                        (other, Link::In(node as u64))
+                    }
+                    Link::In(other) => {
+                        let other = other as usize;
+                        (other, Link::Out(self.link(other, node).expect("known")))
+                    }
+                };
+                let life = self.lives[other];
+                self.at(
+                    self.now + WIRE_MS,
+                    Step::Frame {
+                        to: other,
+                        life,
+                        from,
+                        frame,
+                    },
+                );
+            }
+            Action::Call {
+                call,
+                target,
+                method,
+                path,
+                body,
+                timeout_ms,
+            } => {
+                let mut lag = match &target {
+                    Target::State => STATE_MS,
+                    Target::Cloud => CLOUD_MS,
+                    Target::Worker(_) => WIRE_MS,
+                };
+                if self
+                    .trapped(&path, &body, |t| {
+                        if let Trap::CrashBefore(k) = t {
+                            Some(k)
+                        } else {
+                            None
+                        }
+                    })
+                    .is_some()
+                {
+                    return self.crash(node, 4_000);
+                }
+                if let Some(Trap::Delay(key, ms)) = self.trapped(&path, &body, |t| {
+                    if let Trap::Delay(k, _) = t {
+                        Some(k)
+                    } else {
+                        None
+                    }
+                }) {
+                    self.note(format!("a transaction on {key} is held back"));
+                    lag = ms;
+                }
+                self.open.insert((node, call), life);
+                let timeout = Step::Answer {
+                    node,
+                    life,
+                    call,
+                    result: Err(CallError::Unknown),
+                };
+                self.at(self.now + timeout_ms, timeout);
+                let step = Step::Arrive {
+                    node,
+                    life,
+                    call,
+                    target,
+                    method,
+                    path,
+                    body,
+                };
+                self.at(self.now + lag, step);
+            }
+        }
+    }
+
+    fn answer(&mut self, node: usize, life: u64, call: u64, lag: Ms, answer: (u16, Vec<u8>)) {
+        let step = Step::Answer {
+            node,
+            life,
+            call,
+            result: Ok(answer),
+        };
+        self.at(self.now + lag, step);
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Tick(node, life) => {
+                if self.lives[node] == life && self.nodes[node].is_some() {
+                    self.give(node, Event::Tick);
+                    self.at(self.now + 50, Step::Tick(node, life));
+                }
+                if self.state.expire(self.now) {
+                    self.wake_watches();
+                }
+            }
+            Step::Restart(node) => {
+                if self.nodes[node].is_some() {
+                    return;
+                }
+                let life = self.lives[node];
+                let seed = 77 + node as u64 * 1_000 + life;
+                self.nodes[node] = Some(Node::new(self.settings[node].clone(), seed));
+                self.note(format!("node-{node} starts"));
+                self.give(node, Event::Start);
+                self.at(self.now, Step::Tick(node, life));
+                for other in 0..self.nodes.len() {
+                    if other != node {
+                        self.at(self.now + 2, Step::LinkUp(node, life, other));
+                        self.at(self.now + 2, Step::LinkUp(other, self.lives[other], node));
+                    }
+                }
+            }
+            Step::LinkUp(node, life, other) => {
+                if self.lives[node] == life && self.nodes[other].is_some() {
+                    let link = self.link(node, other).expect("known");
+                    self.give(node, Event::LinkUp(Link::Out(link)));
+                }
+            }
+            Step::Frame {
+                to,
+                life,
+                from,
+                frame,
+            } => {
+                if self.lives[to] == life {
+                    self.give(to, Event::Frame { from, frame });
+                }
+            }
+            Step::Answer {
+                node,
+                life,
+                call,
+                result,
+            } => {
+                if self.lives[node] == life && self.open.remove(&(node, call)).is_some() {
+                    self.give(node, Event::CallDone { call, result });
+                }
+            }
+            Step::Arrive {
+                node,
+                life,
+                call,
+                target,
+                method,
+                path,
+                body,
+            } => match target {
+                Target::State => self.at_state(node, life, call, method, &path, &body),
+                Target::Cloud => {
+                    let before: Vec<String> = self.cloud.machines.keys().cloned().collect();
+                    let answer = self.cloud.handle(self.now, &path, &body);
+                    for id in before {
+                        if !self.cloud.machines.contains_key(&id) {
+                            self.workers.remove(&id);
+                            self.note(format!("{id} is deleted"));
+                        }
+                    }
+                    self.boot();
+                    self.answer(node, life, call, CLOUD_MS, answer);
+                }
+                Target::Worker(addr) => self.at_worker(node, life, call, &addr, method, path, body),
+            },
+            Step::Ask { ask, node, request } => {
+                if self.nodes[node].is_none() {
+                    return self.step(Step::Reply {
+                        ask,
+                        status: 0,
+                        body: vec![],
+                    });
+                }
+                self.give(node, Event::Request { id: ask, request });
+            }
+            Step::Reply { ask, status, body } => self.replied(ask, status, &body),
+            Step::Wake => self.wake_watches(),
+            Step::WorkerTurn(id) => self.worker_turn(&id),
+            Step::User(job) => self.user_turn(&job),
+            Step::Script(i) => {
+                let line = self.script[i].1.clone();
+                crate::trace::act(self, &line);
+            }
+        }
+    }
+
+    fn at_state(
+        &mut self,
+        node: usize,
+        life: u64,
+        call: u64,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) {
+        if self
+            .state_out
+            .get(&node)
+            .is_some_and(|until| self.now < *until)
+        {
+            if path.contains("holdMs") && !path.contains("holdMs=0") {
+                return; // An open watch stays open.
+            }
+            let body = encode(&ErrorBody {
+                error: "trouble".into(),
+            });
+            return self.answer(node, life, call, STATE_MS, (503, body));
+        }
+        let lose = self.trapped(path, body, |t| {
+            if let Trap::LoseAnswer(k) = t {
+                Some(k)
+            } else {
+                None
+            }
+        });
+        let after = self.trapped(path, body, |t| {
+            if let Trap::CrashAfter(k) = t {
+                Some(k)
+            } else {
+                None
+            }
+        });
+        let answer = self.state.handle(self.now, method, path, body);
+        self.wake_watches();
+        if after.is_some() {
+            return self.crash(node, 4_000);
+        }
+        if let Some(Trap::LoseAnswer(key)) = lose {
+            return self.note(format!("the answer to a transaction on {key} is lost"));
+        }
+        match answer {
+            Some(a) => self.answer(node, life, call, STATE_MS, a),
+            None => {
+                let get = |name: &str| {
+                    let q = path.split_once('?').map_or("", |q| q.1);
+                    q.split('&')
+                        .find_map(|p| p.strip_prefix(name))
+                        .unwrap_or("")
+                        .to_owned()
+                };
+                let since = get("since=").parse().unwrap_or(0);
+                let hold: Ms = get("holdMs=").parse().unwrap_or(0);
+                self.watches
+                    .push((node, life, call, get("prefix="), since, self.now + hold));
+                self.at(self.now + hold, Step::Wake);
+            }
+        }
+    }
+
+    fn wake_watches(&mut self) {
+        for (node, life, call, prefix, since, until) in std::mem::take(&mut self.watches) {
+            let out = self
+                .state_out
+                .get(&node)
+                .is_some_and(|until| self.now < *until);
+            let changes = self.state.changes(&prefix, since);
+            if changes.events.is_empty() && self.now < until || out {
+                self.watches.push((node, life, call, prefix, since, until));
+            } else {
+                self.answer(node, life, call, STATE_MS, (200, encode(&changes)));
+            }
+        }
+    }
+
+    // ---- Workers ----------------------------------------------------------------------------
+
+    fn boot(&mut self) {
+        let new: Vec<(String, Hire, Ms)> = self
+            .cloud
+            .machines
+            .iter()
+            .filter(|(id, _)| !self.workers.contains_key(*id))
+            .map(|(id, (h, _, up))| (id.clone(), h.clone(), *up))
+            .collect();
+        for (id, hire, up) in new {
+            let worker = Worker {
+                id: id.clone(),
+                kind: hire.machine_type,
+                zone: hire.zone,
+                spot: hire.spot,
+                cpus: 4.0,
+                session: 1,
+                seq: 0,
+                token: 0,
+                node: self.workers.len() % self.nodes.len(),
+                renewed: up,
+                next_report: up,
+                changed: false,
+                flying: None,
+                tasks: BTreeMap::new(),
+                images: BTreeSet::new(),
+            };
+            self.workers.insert(id.clone(), worker);
+            self.at(up, Step::WorkerTurn(id));
+        }
+    }
+
+    fn worker_turn(&mut self, id: &str) {
+        let now = self.now;
+        let cut = self.cut.get(id).is_some_and(|until| now < *until);
+        let Some(w) = self.workers.get_mut(id) else {
+            return;
+        };
+        if now >= w.renewed + LEASE_MS {
+            w.lose_session(now);
+            self.note(format!("{id} loses its session"));
+        }
+        let mut started = vec![];
+        let w = self.workers.get_mut(id).expect("seen");
+        for (task, t) in &mut w.tasks {
+            if t.state == TaskState::Fetching && now >= t.until {
+                t.state = TaskState::Running;
+                started.push((task.clone(), t.attempt));
+                w.changed = true;
+            }
+        }
+        for (task, attempt) in started {
+            self.started(id, &task, attempt);
+        }
+        let w = self.workers.get_mut(id).expect("seen");
+        for (task, t) in &mut w.tasks {
+            if t.state == TaskState::Running && now >= t.until {
+                t.state = TaskState::Exited;
+                t.why = Some(ExitCause::Done);
+                w.changed = true;
+                let (job, index) = task.split_once('/').expect("task name");
+                if let (Some(j), Ok(n)) = (self.jobs.get_mut(job), index.parse()) {
+                    j.finished.insert(n);
+                }
+            }
+        }
+        let w = self.workers.get_mut(id).expect("seen");
+        if let Some((ask, sent)) = w.flying {
+            if now >= sent + WORKER_PATIENCE_MS {
+                self.asks.remove(&ask);
+                let nodes = self.nodes.len();
+                let w = self.workers.get_mut(id).expect("seen");
+                w.flying = None;
+                w.node = (w.node + 1) % nodes;
+                w.next_report = now + 1_000;
+            }
+        }
+        let w = self.workers.get_mut(id).expect("seen");
+        let due = now >= w.next_report || (w.changed && now + REPORT_MS >= w.next_report + 500);
+        if w.flying.is_none() && due {
+            w.changed = false;
+            w.next_report = now + REPORT_MS;
+            let (node, report) = (w.node, w.report());
+            self.next_ask += 1;
+            let ask = self.next_ask;
+            self.workers.get_mut(id).expect("seen").flying = Some((ask, now));
+            if !cut {
+                self.asks.insert(ask, Asker::Worker(id.into()));
+                self.ask(ask, node, "POST", "/agent/beat", encode(&report));
+            }
+        }
+        self.check();
+        self.at(now + 100, Step::WorkerTurn(id.into()));
+    }
+
+    fn ask(&mut self, ask: u64, node: usize, method: &str, path: &str, body: Vec<u8>) {
+        let request = Request {
+            method: method.into(),
+            path: path.into(),
+            close: false,
+            body,
+        };
+        self.at(self.now + WIRE_MS, Step::Ask { ask, node, request });
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn at_worker(
+        &mut self,
+        node: usize,
+        life: u64,
+        call: u64,
+        addr: &str,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+    ) {
+        let id = addr.trim_end_matches(":1").to_owned();
+        // Held back by a cut, it arrives when the cut ends, whoever still waits for it.
+        let until = self
+            .cut
+            .get(&id)
+            .copied()
+            .max(self.hold_do.get(&id).copied());
+        if let Some(until) = until.filter(|u| self.now < *u) {
+            let target = Target::Worker(addr_of(&id));
+            self.note(format!("{path} to {id} is held back"));
+            return self.at(
+                until,
+                Step::Arrive {
+                    node,
+                    life,
+                    call,
+                    target,
+                    method,
+                    path,
+                    body,
+                },
+            );
+        }
+        let Some(w) = self.workers.get_mut(&id) else {
+            return;
+        };
+        let Ok(orders) = decode::<Orders>(&body) else {
+            return;
+        };
+        let fits = orders.token >= w.token && orders.session == Some(w.session);
+        w.saw(orders.token);
+        if fits {
+            self.execute(&id, orders.commands);
+        }
+        let Some(w) = self.workers.get_mut(&id) else {
+            return;
+        };
+        let report = w.report();
+        self.answer(
+            node,
+            life,
+            call,
+            WIRE_MS,
+            (if fits { 200 } else { 409 }, encode(&report)),
+        );
+    }
+
+    fn execute(&mut self, id: &str, commands: Vec<Command>) {
+        let now = self.now;
+        for command in commands {
+            let mut started = None;
+            let w = self.workers.get_mut(id).expect("worker");
+            match command {
+                Command::Start { task, attempt } => {
+                    if w.tasks.get(&task).is_some_and(|t| t.attempt == attempt) {
+                        continue;
+                    }
+                    let job = task.split('/').next().unwrap_or("").to_owned();
+                    let Some(j) = self.jobs.get(&job) else {
+                        continue;
+                    };
+                    let image = j.spec.image.clone();
+                    let fetched = w.images.contains(&image);
+                    w.images.insert(image);
+                    let t = Task {
+                        attempt,
+                        state: if fetched {
+                            TaskState::Running
+                        } else {
+                            TaskState::Fetching
+                        },
+                        why: None,
+                        until: now + if fetched { j.run_ms } else { FETCH_MS },
+                    };
+                    w.tasks.insert(task.clone(), t);
+                    if fetched {
+                        started = Some((task, attempt));
+                    }
+                }
+                Command::Stop { task, attempt, .. } => {
+                    if let Some(t) = w.tasks.get_mut(&task).filter(|t| t.attempt == attempt) {
+                        if t.state != TaskState::Exited {
+                            t.state = TaskState::Exited;
+                            t.why = Some(ExitCause::Stopped);
+                        }
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let done = w
+                        .tasks
+                        .get(&task)
+                        .is_some_and(|t| t.attempt == attempt && t.state == TaskState::Exited);
+                    if done {
+                        w.tasks.remove(&task);
+                    }
+                }
+            }
+            w.changed = true;
+            if let Some((task, attempt)) = started {
+                self.started(id, &task, attempt);
+            }
+        }
+    }
+
+    // ---- Rules ------------------------------------------------------------------------------
+
+    fn started(&mut self, id: &str, task: &str, attempt: u64) {
+        self.note(format!("{task}#{attempt} starts on {id}"));
+        let twice: Vec<String> = self
+            .workers
+            .values()
+            .filter(|w| w.id != id && w.on_machine(task))
+            .map(|w| w.id.clone())
+            .collect();
+        for other in twice {
+            self.broke(format!("ran_twice {task} on {other} and {id}"));
+        }
+        let job = task.split('/').next().unwrap_or("").to_owned();
+        let (run_ms, spec) = (self.jobs[&job].run_ms, self.jobs[&job].spec.clone());
+        let w = self.workers.get_mut(id).expect("worker");
+        if let Some(t) = w.tasks.get_mut(task) {
+            t.until = self.now + run_ms;
+        }
+        if spec.zone.as_ref().is_some_and(|z| *z != w.zone) {
+            let zone = w.zone.clone();
+            self.broke(format!("wrong_place {task} in {zone}"));
+        }
+    }
+
+    fn check(&mut self) {
+        let mut used: BTreeMap<String, f64> = BTreeMap::new();
+        let mut late = vec![];
+        for w in self.workers.values() {
+            for task in w.tasks.keys().filter(|t| w.on_machine(t)) {
+                let job = &self.jobs[task.split('/').next().unwrap_or("")];
+                *used.entry(job.spec.team.clone()).or_default() += job.spec.cpus;
+                if job.cancelled_at.is_some_and(|at| self.now > at + CANCEL_MS) {
+                    late.push(format!("ran_cancelled {task} on {}", w.id));
+                }
+            }
+        }
+        for (team, cpus) in used {
+            let most = self.settings[0].team(&team).expect("team").cpus_max;
+            if cpus > most + 1e-6 && !self.broken.iter().any(|b| b.starts_with("quota")) {
+                self.broke(format!("quota {team} uses {cpus} of {most}"));
+            }
+        }
+        for l in late {
+            if !self.broken.contains(&l) {
+                self.broke(l);
+            }
+        }
+    }
+
+    // ---- Users ------------------------------------------------------------------------------
+
+    pub fn submit(&mut self, spec: JobSpec, run_ms: Ms) {
+        let id = spec.id.clone();
+        let job = Job {
+            spec,
+            run_ms,
+            accepted: false,
+            ended: None,
+            cancel_asked: false,
+            cancelled_at: None,
+            finished: BTreeSet::new(),
+            asking: None,
+            status: 0,
+        };
+        self.jobs.insert(id.clone(), job);
+        self.at(self.now, Step::User(id));
+    }
+
+    fn user_turn(&mut self, id: &str) {
+        let now = self.now;
+        self.at(now + 2_000, Step::User(id.into()));
+        let Some(j) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if let Some(old) = j.asking.take() {
+            self.asks.remove(&old);
+        }
+        if (400..500).contains(&j.status) && j.status != 429 && !j.accepted {
+            return;
+        }
+        self.next_ask += 1;
+        let ask = self.next_ask;
+        j.asking = Some(ask);
+        let path = format!("/submissions/{id}");
+        let (asker, method, path, body) = if !j.accepted {
+            (
+                Asker::Submit(id.into()),
+                "POST",
+                "/submissions".into(),
+                encode(&j.spec),
+            )
+        } else if j.cancel_asked && j.cancelled_at.is_none() {
+            (
+                Asker::Cancel(id.into()),
+                "POST",
+                format!("{path}/cancel"),
+                vec![],
+            )
+        } else {
+            (Asker::Poll(id.into()), "GET", path, vec![])
+        };
+        self.asks.insert(ask, asker);
+        let alive: Vec<usize> = (0..self.nodes.len())
+            .filter(|i| self.nodes[*i].is_some())
+            .collect();
+        if alive.is_empty() {
+            return;
+        }
+        self.turn += 1;
+        let node = alive[self.turn % alive.len()];
+        self.ask(ask, node, method, &path, body);
+    }
+
+    /// Asks about a job from outside; the answer lands in the log.
+    pub fn probe(&mut self, node: usize, method: &str, path: &str) {
+        self.next_ask += 1;
+        self.asks.insert(self.next_ask, Asker::Probe);
+        self.ask(self.next_ask, node, method, path, vec![]);
+    }
+
+    fn replied(&mut self, ask: u64, status: u16, body: &[u8]) {
+        let now = self.now;
+        let Some(asker) = self.asks.remove(&ask) else {
+            return;
+        };
+        match asker {
+            Asker::Worker(id) => {
+                let cut = self.cut.get(&id).is_some_and(|until| now < *until);
+                let nodes = self.nodes.len();
+                let Some(w) = self.workers.get_mut(&id) else {
+                    return;
+                };
+                let Some((_, sent)) = w.flying.filter(|f| f.0 == ask && !cut) else {
+                    return;
+                };
+                w.flying = None;
+                if status != 200 {
+                    let to = decode::<ReportTo>(body).ok().and_then(|r| r.node);
+                    let named = to.and_then(|n| n.strip_prefix("node-")?.parse().ok());
+                    w.node = named
+                        .filter(|n| *n != w.node)
+                        .unwrap_or((w.node + 1) % nodes);
+                    w.next_report = now + 1_000;
+                    return;
+                }
+                let Ok(orders) = decode::<Orders>(body) else {
+                    return;
+                };
+                if orders.token < w.token {
+                    return;
+                }
+                w.saw(orders.token);
+                w.renewed = sent;
+                self.execute(&id, orders.commands);
+            }
+            Asker::Probe => self.note(format!("probe answered {status}")),
+            Asker::Submit(id) => {
+                let j = self.jobs.get_mut(&id).expect("job");
+                j.status = status;
+                if matches!(status, 200 | 201) && !j.accepted {
+                    j.accepted = true;
+                    self.note(format!("{id} accepted with {status}"));
+                }
+            }
+            Asker::Poll(id) | Asker::Cancel(id) => {
+                if status == 404 {
+                    return self.broke(format!("forgotten {id}"));
+                }
+                if status != 200 {
+                    return;
+                }
+                let Ok(s) = decode::<JobStatus>(body) else {
+                    return;
+                };
+                let j = self.jobs.get_mut(&id).expect("job");
+                let was = j.ended;
+                if let Some(was) = was.filter(|w| *w != s.state) {
+                    return self.broke(format!("went_back {id} from {was:?} to {:?}", s.state));
+                }
+                if matches!(s.state, JobPhase::Done | JobPhase::Cancelled) && was.is_none() {
+                    j.ended = Some(s.state);
+                    let missing = j.finished.len() < j.spec.tasks as usize;
+                    if s.state == JobPhase::Cancelled {
+                        j.cancelled_at = Some(now);
+                    }
+                    let asked = j.cancel_asked;
+                    self.note(format!("{id} is told {:?}", s.state));
+                    if s.state == JobPhase::Done && missing {
+                        self.broke(format!("not_done {id}"));
+                    }
+                    if s.state == JobPhase::Cancelled && !asked {
+                        self.broke(format!("went_back {id}: nobody cancelled it"));
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/trace.rs
@@ -0,0 +1,204 @@
+//! Reads and plays the scenarios in `traces/`: one line an event, `#` comments.
+//!
+//! | line | meaning |
+//! | --- | --- |
+//! | `nodes N` | controllers (3 if not said) |
+//! | `machines N ZONE` | machines up at the start |
+//! | `capacity N` | machines the cloud has at most |
+//! | `T submit JOB KIND N [key value]...` | keys: cpus, run, due, team, zone, priority, image |
+//! | `T cancel JOB` | its user asks to cancel |
+//! | `T crash leader\|all\|N [BACK]` | the process ends, back after so many seconds (4) |
+//! | `T trap crash-before\|crash-after\|lose-answer KEY` | at the next transaction on such a key |
+//! | `T trap delay KEY S` | that transaction arrives so much later |
+//! | `T refuse leader\|all\|N S` | the state service answers it 503 |
+//! | `T cut MACHINE S` | the machine's network; what is sent to it arrives afterwards |
+//! | `T hold-do MACHINE S` | only direct commands to it are held back |
+//! | `T probe N METHOD PATH` | a stray request; its status is logged |
+//! | `T expect JOB done\|cancelled\|accepted\|open\|STATUS` | what the user was told by then |
+//! | `T expect-log TEXT` / `T expect-no-log TEXT` | what the log holds by then |
+//! | `until T` | the end; no rule may be broken by then |
+use crate::outside::Ms;
+use crate::sim::{Sim, Trap};
+use stonegw_wire::msg::{JobKind, JobPhase, JobSpec, Priority};
+
+fn ms(text: &str) -> Ms {
+    let s: f64 = text
+        .parse()
+        .unwrap_or_else(|_| panic!("not a time: {text}"));
+    (s * 1e3) as Ms
+}
+
+/// Plays a scenario to its end.
+pub fn play(text: &str) -> Sim {
+    let lines: Vec<Vec<String>> = text
+        .lines()
+        .map(|l| l.split('#').next().unwrap_or(""))
+        .map(|l| l.split_whitespace().map(str::to_owned).collect::<Vec<_>>())
+        .filter(|l| !l.is_empty())
+        .collect();
+    let nodes = lines
+        .iter()
+        .find(|l| l[0] == "nodes")
+        .map_or(3, |l| l[1].parse().expect("nodes"));
+    let mut sim = Sim::new(nodes);
+    let (mut script, mut until) = (vec![], 0);
+    for l in lines {
+        match l[0].as_str() {
+            "nodes" => {}
+            "machines" => {
+                for _ in 0..l[1].parse().expect("machines") {
+                    sim.add_machine(&l[2]);
+                }
+            }
+            "capacity" => sim.cloud.capacity = l[1].parse().expect("capacity"),
+            "until" => until = ms(&l[1]),
+            when => script.push((ms(when), l[1..].to_vec())),
+        }
+    }
+    assert!(until > 0, "a trace needs an end");
+    sim.script(script);
+    sim.run(until);
+    sim
+}
+
+fn targets(sim: &Sim, who: &str) -> Vec<usize> {
+    match who {
+        "leader" => sim.leader().into_iter().collect(),
+        "all" => (0..sim.nodes.len()).collect(),
+        n => vec![n.parse().expect("node")],
+    }
+}
+
+pub(crate) fn act(sim: &mut Sim, line: &[String]) {
+    let word = |i: usize| line.get(i).map(String::as_str).unwrap_or("");
+    let text = line.join(" ");
+    match word(0) {
+        "submit" => sim.note(text.clone()),
+        w if w.starts_with("expect") => {}
+        _ => sim.note(format!("-- {text}")),
+    }
+    match word(0) {
+        "submit" => {
+            let mut spec = JobSpec {
+                id: word(1).into(),
+                class: "work".into(),
+                team: "red".into(),
+                kind: if word(2) == "standing" {
+                    JobKind::Service
+                } else {
+                    JobKind::Array
+                },
+                priority: Priority::Normal,
+                tasks: word(3).parse().expect("tasks"),
+                cpus: 1.0,
+                gpus: 0.0,
+                memory_gb: 1.0,
+                image: "img".into(),
+                image_gb: 1.0,
+                types: None,
+                zone: None,
+                one_zone: false,
+                spread: false,
+                spot: false,
+                estimate_s: 10.0,
+                checkpoint_s: 0.0,
+                save_s: 0.0,
+                deadline_s: None,
+            };
+            let mut run_ms = if spec.kind == JobKind::Service {
+                1 << 40
+            } else {
+                10_000
+            };
+            for pair in line[4..].chunks(2) {
+                match pair[0].as_str() {
+                    "cpus" => spec.cpus = pair[1].parse().expect("cpus"),
+                    "run" => run_ms = ms(&pair[1]),
+                    "due" => spec.deadline_s = Some(pair[1].parse().expect("due")),
+                    "team" => spec.team = pair[1].clone(),
+                    "zone" => spec.zone = Some(pair[1].clone()),
+                    "image" => spec.image = pair[1].clone(),
+                    "priority" => {
+                        spec.priority = match pair[1].as_str() {
+                            "high" => Priority::High,
+                            "low" => Priority::Low,
+                            _ => Priority::Normal,
+                        }
+                    }
+                    other => panic!("unknown key {other}"),
+                }
+            }
+            sim.submit(spec, run_ms);
+        }
+        "cancel" => {
+            if let Some(j) = sim.jobs.get_mut(word(1)) {
+                j.cancel_asked = true;
+            }
+        }
+        "crash" => {
+            let back = if word(2).is_empty() {
+                4_000
+            } else {
+                ms(word(2))
+            };
+            for n in targets(sim, word(1)) {
+                sim.crash(n, back);
+            }
+        }
+        "trap" => {
+            let key = word(2).to_owned();
+            sim.traps.push(match word(1) {
+                "crash-before" => Trap::CrashBefore(key),
+                "crash-after" => Trap::CrashAfter(key),
+                "lose-answer" => Trap::LoseAnswer(key),
+                "delay" => Trap::Delay(key, ms(word(3))),
+                other => panic!("unknown trap {other}"),
+            });
+        }
+        "refuse" => {
+            let until = sim.now + ms(word(2));
+            for n in targets(sim, word(1)) {
+                sim.state_out.insert(n, until);
+            }
+            if word(1) == "all" {
+                sim.state.outage_over(until);
+            }
+        }
+        "cut" => {
+            let until = sim.now + ms(word(2));
+            sim.cut.insert(word(1).into(), until);
+        }
+        "hold-do" => {
+            let until = sim.now + ms(word(2));
+            sim.hold_do.insert(word(1).into(), until);
+        }
+        "probe" => sim.probe(word(1).parse().expect("node"), word(2), word(3)),
+        "expect" => {
+            let j = &sim.jobs[word(1)];
+            let ok = match word(2) {
+                "done" => j.ended == Some(JobPhase::Done),
+                "cancelled" => j.ended == Some(JobPhase::Cancelled),
+                "accepted" => j.accepted,
+                "open" => j.ended.is_none(),
+                status => j.status.to_string() == status,
+            };
+            if !ok {
+                let seen = format!(
+                    "{text}: accepted {}, told {:?}, status {}",
+                    j.accepted, j.ended, j.status
+                );
+                sim.failures
+                    .push(format!("{:.1} s: {seen}", sim.now as f64 / 1e3));
+            }
+        }
+        "expect-log" | "expect-no-log" => {
+            let wanted = line[1..].join(" ");
+            let found = sim.log.iter().any(|l| l.contains(&wanted));
+            if found != (word(0) == "expect-log") {
+                sim.failures
+                    .push(format!("{:.1} s: {text}", sim.now as f64 / 1e3));
+            }
+        }
+        other => panic!("unknown event {other}"),
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/traces.rs
@@ -0,0 +1,50 @@
+//! Plays every kept trace: no rule may break, and what each expects must hold.
+use std::path::PathBuf;
+
+fn play(name: &str) {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(format!("traces/{name}.trace"));
+    let text = std::fs::read_to_string(&path).expect("trace");
+    let sim = stonegw_testkit::trace::play(&text);
+    let bad = !sim.broken.is_empty() || !sim.failures.is_empty();
+    if bad || std::env::var_os("SHOW_TRACE").is_some() {
+        println!("{}", sim.log.join("\n"));
+    }
+    assert!(sim.broken.is_empty(), "{name}: broken {:#?}", sim.broken);
+    assert!(sim.failures.is_empty(), "{name}: {:#?}", sim.failures);
+}
+
+macro_rules! traces {
+    ($($test:ident),* $(,)?) => {
+        $(#[test]
+        fn $test() {
+            play(stringify!($test));
+        })*
+
+        #[test]
+        fn every_trace_is_played() {
+            let known = [$(stringify!($test)),*];
+            let dir = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("traces");
+            for f in std::fs::read_dir(dir).expect("traces") {
+                let name = f.expect("entry").path().file_stem().expect("name").to_string_lossy().into_owned();
+                assert!(known.contains(&name.as_str()), "{name} is not played");
+            }
+        }
+    };
+}
+
+traces!(
+    quiet_day,
+    leader_ends_before_placement_is_stored,
+    leader_ends_after_placement_is_stored,
+    leader_ends_while_tasks_run,
+    all_nodes_end_at_once,
+    lost_transaction_answer,
+    late_transaction,
+    late_report,
+    late_direct_command,
+    cancel_races_a_start,
+    node_refused_alone,
+    state_outage,
+    cut_machine,
+    team_limit,
+);
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -185,13 +185,13 @@
 #[serde(rename_all = "lowercase")]
 pub enum TaskState {
     Fetching,
-    /// Part of a gang; none is in the protocol's shapes today.
-    #[serde(rename = "gathering")]
-    Waiting,
     Running,
     #[serde(rename = "flushing")]
     Saving,
     Exited,
+    /// States of later protocol versions; the task is there.
+    #[serde(other)]
+    Other,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
