--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -181,9 +181,9 @@
 pub const REFUSED_MS: u64 = 8_000;
 /// ms, the longest pause after refusals.
 pub const REFUSED_MAX_MS: u64 = 60_000;
-/// ms a machine may stand idle before it is returned; the minimum charge is 60 s, and the
-/// next job of a class usually comes within this.
-pub const IDLE_RETURN_MS: u64 = 25_000;
+/// Boot times for which an idle machine is kept: renting it again costs one, so keeping it as
+/// long is never much worse than knowing the future.
+pub const IDLE_BOOTS: f64 = 0.5;
 /// Multiples of the catalogue's boot time after which a booting machine is given up. Usual
 /// boots take up to 1.5 times.
 pub const BOOT_GIVE_UP: f64 = 3.0;
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -191,7 +191,10 @@
                         _ => 0.0,
                     };
                     let kept = room > 0.0 && spare - room < wanted;
-                    if now >= since + ctx.set.tuning.idle_return_ms && !kept {
+                    // To rent it again would cost a boot: as long as that it is worth keeping.
+                    let boot = types.iter().find(|t| t.name == m.kind).map_or(0.0, |t| t.boot_s);
+                    let patience = (boot * ctx.set.tuning.idle_boots * 1e3) as u64;
+                    if now >= since + patience && !kept {
                         spare -= room;
                         m.set_life(Life::Deleting);
                     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -15,8 +15,8 @@
 pub struct Tuning {
     /// Tasks of the usual urgent size kept free.
     pub spare_tasks: f64,
-    /// ms an idle machine is kept.
-    pub idle_return_ms: u64,
+    /// Boot times that an idle machine is kept.
+    pub idle_boots: f64,
     /// Part of the time to a deadline the fleet is sized for.
     pub slack_use: f64,
     /// ms the leader key outlives its last renewal.
@@ -31,7 +31,7 @@
     fn default() -> Self {
         Tuning {
             spare_tasks: k::SPARE_TASKS,
-            idle_return_ms: k::IDLE_RETURN_MS,
+            idle_boots: k::IDLE_BOOTS,
             slack_use: k::SLACK_USE,
             leader_ttl_ms: k::LEADER_TTL_MS,
             map_ms: k::MAP_MS,
--- a/crates/stonegwd/src/settings.rs
+++ b/crates/stonegwd/src/settings.rs
@@ -93,7 +93,7 @@
 #[serde(deny_unknown_fields, default)]
 struct Operators {
     spare_tasks: Option<f64>,
-    idle_return_s: Option<f64>,
+    idle_boots: Option<f64>,
     slack_use: Option<f64>,
     leader_ttl_s: Option<f64>,
     mapping_s: Option<f64>,
@@ -139,8 +139,8 @@
     if let Some(v) = o.spare_tasks {
         t.spare_tasks = within("spare_tasks", v, 0.0, 10_000.0)?;
     }
-    if let Some(v) = o.idle_return_s {
-        t.idle_return_ms = (within("idle_return_s", v, 0.0, 86_400.0)? * 1e3) as u64;
+    if let Some(v) = o.idle_boots {
+        t.idle_boots = within("idle_boots", v, 0.0, 1e6)?;
     }
     if let Some(v) = o.slack_use {
         t.slack_use = within("slack_use", v, 0.05, 1.0)?;
@@ -307,8 +307,8 @@
 
     #[test]
     fn the_operators_file_is_strict() {
-        let t = operators("spare_tasks = 4\nidle_return_s = 10.5\n").unwrap();
-        assert_eq!((t.spare_tasks, t.idle_return_ms), (4.0, 10_500));
+        let t = operators("spare_tasks = 4\nidle_boots = 1.5\n").unwrap();
+        assert_eq!((t.spare_tasks, t.idle_boots), (4.0, 1.5));
         assert!(operators("spare_task = 4\n").is_err());
         assert!(operators("slack_use = 0\n")
             .unwrap_err()
