Rent for deadlines by what the machines at hand can do until then

Cause: the fleet was sized for free room only, so every array rented although machines in use would free in time; a third of the money went on boots and idle tails. Now earliest-deadline-first work against the cpus at hand.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -199,4 +199,6 @@
 pub const HIRE_STEP: u32 = 8;
 /// Part of the time left to a deadline that the fleet is sized for; the remainder covers late
 /// starts and wrong estimates.
-pub const SLACK_USE: f64 = 0.6;
+pub const SLACK_USE: f64 = 0.7;
+/// Run times that a machine rented for a deadline must get after its boot.
+pub const RUN_ROOM: f64 = 1.5;
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -192,7 +192,10 @@
                     };
                     let kept = room > 0.0 && spare - room < wanted;
                     // To rent it again would cost a boot: as long as that it is worth keeping.
-                    let boot = types.iter().find(|t| t.name == m.kind).map_or(0.0, |t| t.boot_s);
+                    let boot = types
+                        .iter()
+                        .find(|t| t.name == m.kind)
+                        .map_or(0.0, |t| t.boot_s);
                     let patience = (boot * ctx.set.tuning.idle_boots * 1e3) as u64;
                     if now >= since + patience && !kept {
                         spare -= room;
@@ -314,7 +317,14 @@
                     *h.entry(job.as_str()).or_default() += 1;
                     h
                 });
-        // Urgent first, then by deadline.
+        let boot = self
+            .catalog
+            .types
+            .iter()
+            .map(|t| t.boot_s)
+            .fold(f64::MAX, f64::min);
+        let mut dated: Vec<(f64, f64, JobSpec, usize)> = vec![];
+        // Urgent first.
         let mut wants: Vec<(Priority, f64, JobSpec, usize)> = vec![];
         for (id, w) in &self.works {
             let s = &w.spec;
@@ -329,23 +339,16 @@
                 let used = usage.get(&s.team).copied().unwrap_or_default().0;
                 n = n.min(((t.cpus_max - used).max(0.0) / s.cpus.max(0.01)) as usize);
             }
-            let due = w.due_s(ctx.now.wall_ms).unwrap_or(0.0);
-            if due > 0.0 {
-                // As many side by side as lets the last finish within part of the time left.
+            let due = w.due_s(ctx.now.wall_ms);
+            if let Some(due) = due {
                 let run = self.sched.mean_s(s).max(1.0);
-                let boot = self
-                    .catalog
-                    .types
-                    .iter()
-                    .map(|t| t.boot_s)
-                    .fold(f64::MAX, f64::min);
-                let rounds = ((due - boot) * ctx.set.tuning.slack_use / run)
-                    .floor()
-                    .max(1.0);
-                let running = self.counts(id).1 as usize;
-                let side = ((n + running) as f64 / rounds).ceil() as usize;
-                n = n.min(side.saturating_sub(running));
+                // A machine rented now must get time for a run at least; what is late already
+                // is given that much.
+                let due = due.max(boot + run * k::RUN_ROOM);
+                dated.push((due, run, s.clone(), n));
+                continue;
             }
+            let due = 0.0;
             if n > 0 {
                 wants.push((s.priority, due, s.clone(), n));
             }
@@ -378,6 +381,24 @@
         for (_, _, s, n) in wants {
             self.rent_for(now, &s, n, &mut bins, &mut hires, false);
         }
+        // Deadline work: what the machines at hand can do by each deadline, earliest first, is
+        // not rented for, though it may have to wait.
+        dated.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let cpus = self.dated_cpus(&bins);
+        let mut work = self.dated_running();
+        let mut later = 0.0;
+        for (due, run, s, n) in dated {
+            work += n as f64 * s.cpus * run;
+            let use_s = |from: f64| (due - from - run * 0.5).max(1.0) * ctx.set.tuning.slack_use;
+            let short = work - cpus * use_s(0.0) - later * use_s(boot);
+            if short <= 0.0 {
+                continue;
+            }
+            let more = (short / use_s(boot)).min(n as f64 * s.cpus);
+            let tasks = (more / s.cpus.max(0.01)).ceil() as usize;
+            self.rent_for(now, &s, tasks.min(n), &mut bins, &mut hires, true);
+            later += tasks as f64 * s.cpus;
+        }
         for ((kind, zone, spot), count) in hires {
             self.fleet.next_hire += 1;
             let number = self.fleet.next_hire;
@@ -397,6 +418,38 @@
         }
     }
 
+    /// The cpus that deadline work may use: all but those of deadline-free tasks.
+    fn dated_cpus(&self, bins: &[Bin]) -> f64 {
+        let free: f64 = bins.iter().map(|b| b.free.0.max(0.0)).sum();
+        let used: f64 = self
+            .machines
+            .values()
+            .filter(|m| matches!(m.life, Life::Up))
+            .flat_map(|m| &m.placements)
+            .filter(|p| p.present())
+            .filter(|p| {
+                let w = self.works.get(&p.job);
+                w.is_some_and(|w| w.spec.deadline_s.is_some())
+            })
+            .map(|p| p.cpus)
+            .sum();
+        free + used
+    }
+
+    /// cpu-seconds that running deadline tasks still need, about: half a run each.
+    fn dated_running(&self) -> f64 {
+        self.machines
+            .values()
+            .flat_map(|m| &m.placements)
+            .filter(|p| p.present())
+            .filter_map(|p| {
+                let w = self.works.get(&p.job)?;
+                w.spec.deadline_s?;
+                Some(p.cpus * self.sched.mean_s(&w.spec) * 0.5)
+            })
+            .sum()
+    }
+
     /// Finds room for `n` tasks, renting where none is left. `fresh`: only new machines count.
     fn rent_for(
         &self,
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -561,6 +561,7 @@
         }
         let new_session = report.session > m.session && m.heard.is_some();
         let first = m.heard.is_none();
+        m.count_use(now);
         m.session = report.session;
         m.seq = report.seq;
         m.heard = Some(now);
@@ -1029,6 +1030,13 @@
                     w.give_back(index);
                 }
             }
+            let cpus = self
+                .catalog
+                .types
+                .iter()
+                .find(|t| t.name == m.kind)
+                .map_or(1.0, |t| t.cpus);
+            log::info!("machine {id} account: {}", m.account(now, cpus));
             m.set_life(Life::Gone);
             if m.stored == Stored::absent() {
                 self.machines.remove(id);
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -148,6 +148,10 @@
     pub full_until: Ms,
     pub idle_since: Option<Ms>,
     pub delete_sent: Ms,
+    /// cpu-milliseconds its tasks ran, fetched; for the log.
+    pub ran: f64,
+    pub fetched: f64,
+    pub up_at: Option<Ms>,
 }
 
 impl Machine {
@@ -178,6 +182,9 @@
             full_until: 0,
             idle_since: None,
             delete_sent: 0,
+            ran: 0.0,
+            fetched: 0.0,
+            up_at: None,
         }
     }
 
@@ -202,6 +209,36 @@
         (kind.cpus - c, kind.gpus - g, kind.memory_gb - m)
     }
 
+    /// Adds up what its tasks used since it was last heard.
+    pub fn count_use(&mut self, now: Ms) {
+        let dt = now.saturating_sub(self.heard.unwrap_or(now)) as f64;
+        for p in &self.placements {
+            match p.phase {
+                Phase::Running | Phase::Saving => self.ran += p.cpus * dt,
+                Phase::Fetching => self.fetched += p.cpus * dt,
+                _ => {}
+            }
+        }
+        self.up_at.get_or_insert(now);
+    }
+
+    /// What became of the money spent on it, for the log.
+    pub fn account(&self, now: Ms, cpus: f64) -> String {
+        let s = |ms: u64| ms as f64 / 1e3;
+        let boot = self.up_at.map_or(now, |u| u).saturating_sub(self.born);
+        let up = self.up_at.map_or(0, |u| now.saturating_sub(u));
+        let part = |x: f64| x / (cpus * up as f64).max(1.0);
+        format!(
+            "{} {} boot {:.0} s, up {:.0} s, ran {:.2}, fetched {:.2}",
+            self.kind,
+            if self.spot { "spot" } else { "ordinary" },
+            s(boot),
+            s(up),
+            part(self.ran),
+            part(self.fetched)
+        )
+    }
+
     pub fn idle(&self) -> bool {
         self.held.is_empty() && !self.placements.iter().any(Placement::present)
     }
