Cut zones keep their leases; no cloud calls without a sure lease

A node beside them now answers with the leader's token while its copy is fresh, ends what is cancelled, and hands reports on through the state service. Cloud calls now need a renewal younger than the lease. Ruled out: slow election (4 s) and drops. Traces zone_cut, cut_machine.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -110,6 +110,31 @@
 /// Attempts of one term: attempt numbers are term * this + counter, so they never repeat.
 pub const ATTEMPTS_PER_TERM: u64 = 1_000_000;
 
+/// ms a leader that hears no machine at all, though the state service answers it, goes on
+/// before it resigns: two report periods are not yet proof, and the others can hear.
+pub const DEAF_MS: u64 = 9_000;
+/// ms before it stands again.
+pub const DEAF_PAUSE_MS: u64 = 15_000;
+/// ms before a node resigns again: if the others hear no more, somebody must act.
+pub const RESIGN_AGAIN_MS: u64 = 180_000;
+/// Part of the time between a worker's lease and the limit for cancellations for which a node
+/// without the leader, or the leader without the state service, keeps leases alive alone: a
+/// cancel told elsewhere must still be in time when it stops.
+pub const ALONE_PART: f64 = 0.8;
+/// ms after which a machine answered without the leader is sent to try it: a round of vain
+/// tries takes 10 s, which with this stays within the shortest lease in use.
+pub const FAR_REDIRECT_MS: u64 = 14_000;
+/// ms between two reports of a machine handed on through the state service, if nothing
+/// changed.
+pub const FAR_REPEAT_MS: u64 = 6_000;
+/// ms between two transactions with such reports.
+pub const FAR_GAP_MS: u64 = 1_000;
+/// Part of the machines that may fall silent at once before the leader takes it for its own
+/// trouble and deletes none.
+pub const SILENT_PART: f64 = 0.5;
+/// Fewer machines than this are never too many to be lost at once.
+pub const SILENT_FEW: usize = 3;
+
 // ---- Workers ----------------------------------------------------------------------------
 
 /// ms before a direct command is given up.
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -25,6 +25,8 @@
 pub struct Ctx<'a> {
     pub now: Now,
     pub set: &'a Settings,
+    /// No other node is heard, so another may hear the machines that we don't.
+    pub may_resign: bool,
     pub replica: &'a mut Replica,
     pub reads: &'a mut Bucket,
     pub writes: &'a mut Bucket,
@@ -114,6 +116,11 @@
     pub term: u64,
     pub lease: u64,
     pub deposed: bool,
+    /// Deposed of its own will: the lease is to be ended.
+    pub resigned: bool,
+    /// When the last renewal that succeeded was sent.
+    renewed_at: Ms,
+    renew_sent: Ms,
     pub stage: Stage,
     since: Ms,
     renew_at: Ms,
@@ -144,6 +151,9 @@
             term,
             lease,
             deposed: false,
+            resigned: false,
+            renewed_at: now,
+            renew_sent: now,
             stage: Stage::Loading,
             since: now,
             renew_at: now + k::RENEW_MS,
@@ -178,6 +188,7 @@
         let now = ctx.now.ms;
         if now >= self.renew_at && !self.renewing {
             self.renewing = true;
+            self.renew_sent = now;
             self.renew_at = now + k::RENEW_MS;
             ctx.reads.force(now, 1.0);
             let path = format!("/grants/{}/touch", self.lease);
@@ -196,15 +207,42 @@
             return;
         }
         self.take_changes(ctx);
+        self.take_far(ctx);
         self.watch_machines(ctx);
         if self.stage == Stage::Active {
             self.schedule(ctx);
-            self.run_fleet(ctx);
+            // A request to the cloud can be carried out late, after another leader has made
+            // its own plans: so none without a lease that surely holds.
+            if self.confirmed(ctx) {
+                self.run_fleet(ctx);
+            }
         }
         self.flush(ctx);
         self.command(ctx);
     }
 
+    /// Our lease surely holds: no other can lead yet.
+    pub fn confirmed(&self, ctx: &Ctx) -> bool {
+        ctx.now.ms < self.renewed_at + ctx.set.tuning.leader_ttl_ms
+    }
+
+    /// Reports that came through the state service.
+    fn take_far(&mut self, ctx: &mut Ctx) {
+        for report in std::mem::take(&mut ctx.replica.far) {
+            if report.token > self.term {
+                self.deposed = true;
+                return;
+            }
+            let id = report.machine.clone();
+            if self.hear(ctx, report, false) {
+                if let Some(m) = self.machines.get_mut(&id) {
+                    m.far = true;
+                }
+                self.take_exits(ctx);
+            }
+        }
+    }
+
     // ---- Loading --------------------------------------------------------------------------
 
     fn load(&mut self, ctx: &mut Ctx) {
@@ -528,6 +566,9 @@
         if self.stage != Stage::Loading {
             let id = report.machine.clone();
             let newer = self.hear(ctx, report, true);
+            if let Some(m) = self.machines.get_mut(&id).filter(|_| newer) {
+                m.far = false;
+            }
             self.take_exits(ctx);
             if newer && self.stage == Stage::Active {
                 self.promote(ctx, &id);
@@ -892,6 +933,7 @@
                     && !m.do_lost
                     && m.addr.is_some()
                     && !m.quiet(now, ctx.set.report_s)
+                    && !m.far
                     && m.life != Life::Gone
                     && m.placements.iter().any(|p| match p.phase {
                         Phase::Ready => p.stop.is_none(),
@@ -975,7 +1017,23 @@
     fn watch_machines(&mut self, ctx: &Ctx) {
         let now = ctx.now.ms;
         let lost_ms = (ctx.set.lease_s * k::LOST_LEASES * 1e3) as u64;
-        let settled = self.stage == Stage::Active;
+        let settled = self.stage == Stage::Active && self.confirmed(ctx);
+        let heard = |m: &&Machine| m.heard.is_some() && matches!(m.life, Life::Up | Life::Draining);
+        let all = self.machines.values().filter(heard).count();
+        let silent = |m: &&Machine| m.quiet(now, ctx.set.report_s);
+        let quiet = self.machines.values().filter(heard).filter(silent).count();
+        // When many fall silent together, the trouble is more likely ours, or a cut that ends.
+        let many = quiet > k::SILENT_FEW && quiet as f64 > all as f64 * k::SILENT_PART;
+        if settled && all > 1 && ctx.may_resign {
+            let last = self.machines.values().filter_map(|m| m.heard).max();
+            if last.is_some_and(|at| now > at.max(self.since) + k::DEAF_MS) {
+                log::warn!("term {}: no machine is heard; resigning", self.term);
+                self.resigned = true;
+                self.deposed = true;
+                return;
+            }
+        }
+        let lost_ms = if many { lost_ms * 3 } else { lost_ms };
         for m in self.machines.values_mut() {
             let quiet_ms = now.saturating_sub(m.heard.unwrap_or(m.known_since));
             let mattered = m.heard.is_some() || !m.placements.is_empty();
@@ -1425,6 +1483,9 @@
         match call {
             Call::Renew => {
                 self.renewing = false;
+                if let Ok((200, _)) = result {
+                    self.renewed_at = self.renew_sent;
+                }
                 if let Ok((404, _)) = result {
                     log::warn!("term {}: the lease is gone", self.term);
                     self.deposed = true;
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -124,6 +124,8 @@
     pub session: u64,
     pub seq: u64,
     pub heard: Option<Ms>,
+    /// Last heard through the state service: commands don't reach it.
+    pub far: bool,
     /// The last report was made under our token.
     pub under_token: bool,
     pub known_since: Ms,
@@ -166,6 +168,7 @@
             session: 0,
             seq: 0,
             heard: None,
+            far: false,
             under_token: false,
             known_since: now,
             born: now,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -2,18 +2,21 @@
 //! standing for election) and, while it leads, the leader inside.
 use crate::api::{Action, CallError, CallResult, Event, Link, Ms, Now, Target};
 use crate::leader::Leader;
-use crate::records::{self, Common, End, JobRecord, LeaderRecord, Value, COMMON, LEADER};
+use crate::records::{
+    self, Common, End, FarRecord, JobRecord, LeaderRecord, Value, COMMON, LEADER,
+};
 use crate::replica::Replica;
 use crate::settings::{Bucket, Settings};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use serde::Serialize;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use stonegw_constants as k;
 use stonegw_wire::frame::{self, Frame, Hello};
 use stonegw_wire::http::Request;
 use stonegw_wire::msg::{
-    decode, encode, json_len, Catalog, Changes, Condition, ErrorBody, JobKind, JobPhase, JobSpec,
-    JobStatus, LeaseAnswer, LeaseRequest, Listing, Orders, Report, ReportTo, Txn, TxnAnswer, Write,
+    decode, encode, json_len, Catalog, Changes, Command, Condition, ErrorBody, JobKind, JobPhase,
+    JobSpec, JobStatus, LeaseAnswer, LeaseRequest, Listing, Orders, Report, ReportTo, TaskState,
+    Txn, TxnAnswer, Write,
 };
 
 /// Standing for election, step by step. The leader key is created under a fresh lease and only
@@ -57,6 +60,7 @@
     Watch,
     Barrier { polls: Vec<Pending> },
     Store { batch: Vec<Pending> },
+    Far,
     Grant,
     Claim { lease: u64 },
     Release,
@@ -167,6 +171,14 @@
     counts: HashMap<String, (u32, u32)>,
     /// A lease of an earlier life or a failed claim, to be ended.
     release: Vec<u64>,
+    /// Reports to be handed on through the state service, and when each last was.
+    far: BTreeMap<String, (Report, bool, Ms)>,
+    far_at: Ms,
+    /// Machines answered without the leader: since when, or when last sent to try it.
+    redirected: HashMap<String, Ms>,
+    /// Not to stand for election before.
+    stand_at: Ms,
+    resigned_at: Option<Ms>,
     /// A term higher than any leader key we have seen, told by a worker or peer.
     pub higher_term: u64,
 }
@@ -215,6 +227,11 @@
             next_relay: 0,
             counts: HashMap::new(),
             release: vec![],
+            far: BTreeMap::new(),
+            far_at: 0,
+            redirected: HashMap::new(),
+            stand_at: 0,
+            resigned_at: None,
             higher_term: 0,
             set,
         };
@@ -267,6 +284,7 @@
         self.advance_sync();
         self.advance_role();
         self.advance_front();
+        self.advance_far();
         if self.catalog.is_none() && !self.catalog_asked && now >= self.catalog_at {
             self.catalog_asked = true;
             let call = self.out.call(
@@ -371,6 +389,11 @@
         if let Some(l) = &self.leader {
             if l.deposed || term != Some(l.term) || self.higher_term > l.term {
                 log::warn!("term {} is over", l.term);
+                if l.resigned {
+                    self.release.push(l.lease);
+                    self.stand_at = now + k::DEAF_PAUSE_MS;
+                    self.resigned_at = Some(now);
+                }
                 self.set_role(Role::Follower);
             }
         }
@@ -414,7 +437,7 @@
                 self.set_role(Role::Waiting { until: now + wait });
             }
             (Role::Waiting { until }, None) => {
-                if now >= *until && self.catalog.is_some() {
+                if now >= *until && now >= self.stand_at && self.catalog.is_some() {
                     self.reads.force(now, 1.0);
                     let body = encode(&LeaseRequest {
                         ttl_ms: self.set.tuning.leader_ttl_ms,
@@ -460,7 +483,13 @@
             return;
         };
         let mut calls = vec![];
+        let may_resign = !self.peers.is_empty()
+            && !self.peer_heard()
+            && self
+                .resigned_at
+                .is_none_or(|at| self.now.ms > at + k::RESIGN_AGAIN_MS);
         let mut ctx = crate::leader::Ctx {
+            may_resign,
             now: self.now,
             set: &self.set,
             replica: &mut self.replica,
@@ -561,7 +590,7 @@
                 }),
             },
             Call::Claim { lease } => self.claimed(lease, result),
-            Call::Release => {}
+            Call::Release | Call::Far => {}
             Call::Catalog | Call::Leader(_) => {}
         }
     }
@@ -1122,17 +1151,147 @@
                     frame: Frame::Report { request, body },
                 });
             }
-            Some(_) => self
-                .out
-                .reply(id, 421, None, &ReportTo { node: Some(node) }),
+            Some(_) => self.far_beat(id, report, node),
             None => self.out.reply(id, 421, None, &ReportTo { node: None }),
         }
     }
 
+    /// How long leases may be kept alive without word from the state service.
+    fn alone_ms(&self) -> u64 {
+        ((self.set.cancel_s - self.set.lease_s).max(0.0) * k::ALONE_PART * 1e3) as u64
+    }
+
+    /// A report that can't be relayed, from a worker that may be cut off with us. Its lease is
+    /// kept alive with the leader's token, what is cancelled is ended, and the report goes on
+    /// through the state service.
+    fn far_beat(&mut self, id: u64, report: Report, leader: String) {
+        let now = self.now.ms;
+        // The lease comes first: only a machine that has been here for a while is sent to try
+        // the leader itself, and while it tries in vain its lease still lasts.
+        self.redirected
+            .retain(|_, at| now < *at + 2 * k::FAR_REDIRECT_MS);
+        let since = self.redirected.entry(report.machine.clone()).or_insert(now);
+        if now >= *since + k::FAR_REDIRECT_MS {
+            *since = now;
+            let node = Some(leader);
+            return self.out.reply(id, 421, None, &ReportTo { node });
+        }
+        // Only while our copy of the jobs and of the term is fresh enough to end in time what
+        // is cancelled elsewhere.
+        let term = self.replica.term().unwrap_or(0);
+        if now > self.state_ok_at + self.alone_ms() || report.token > term {
+            return self
+                .out
+                .error(id, 503, Some(k::RETRY_STATE_S), "cut off from the leader");
+        }
+        let cancelled = |task: &str| {
+            let job = records::parse_task(task).map_or("", |t| t.0);
+            self.replica.end_of(job) == Some(End::Cancelled)
+        };
+        let commands = report
+            .tasks
+            .iter()
+            .filter(|t| t.state != TaskState::Exited && cancelled(&t.task))
+            .map(|t| Command::Stop {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+            .collect();
+        let orders = Orders {
+            token: term,
+            session: None,
+            commands,
+        };
+        self.out.reply(id, 200, None, &orders);
+        let entry = self
+            .far
+            .entry(report.machine.clone())
+            .or_insert_with(|| (report.clone(), true, 0));
+        entry.1 |= entry.0.tasks != report.tasks || entry.0.session != report.session;
+        entry.0 = report;
+    }
+
+    /// Hands reports on, the longest unheard first, as many as the budget allows.
+    fn advance_far(&mut self) {
+        let now = self.now.ms;
+        if self.far.is_empty() || now < self.far_at || self.sync != Sync::Live {
+            return;
+        }
+        self.far_at = now + k::FAR_GAP_MS;
+        let redirected = &self.redirected;
+        self.far.retain(|m, _| redirected.contains_key(m));
+        let mut due: Vec<(Ms, String)> = self
+            .far
+            .iter()
+            .filter(|(_, (_, changed, at))| *changed || now >= at + k::FAR_REPEAT_MS)
+            .map(|(m, (_, _, at))| (*at, m.clone()))
+            .collect();
+        due.sort();
+        due.truncate((self.writes.level(now).max(0.0) as usize).min(self.set.txn_ops));
+        if due.is_empty() || !self.reads.take(now, 1.0) {
+            return;
+        }
+        let mut txn = Txn {
+            conditions: vec![],
+            writes: vec![],
+        };
+        let mut bytes = k::TXN_MARGIN;
+        for (_, machine) in due {
+            let Some((report, changed, at)) = self.far.get_mut(&machine) else {
+                continue;
+            };
+            let value = Value::Far(Box::new(FarRecord {
+                via: self.set.node.clone(),
+                report: report.clone(),
+            }));
+            let size = json_len(&value);
+            if size > self.set.value_bytes || bytes + size > k::TXN_BYTES {
+                continue;
+            }
+            bytes += size + 100;
+            (*changed, *at) = (false, now);
+            txn.writes.push(Write::Put {
+                key: records::far_key(&machine),
+                value,
+                lease: None,
+            });
+        }
+        if txn.writes.is_empty() {
+            return;
+        }
+        self.writes.force(now, txn.writes.len() as f64);
+        let call = self.out.call(
+            Target::State,
+            "POST",
+            "/multi".into(),
+            encode(&txn),
+            k::STATE_TIMEOUT_MS,
+        );
+        self.calls.insert(call, Call::Far);
+    }
+
+    /// The leader is alone: neither the state service nor any other node is heard. A higher
+    /// term and cancels may pass it by, so it must not keep leases alive for long.
+    fn alone(&self) -> bool {
+        !self.peers.is_empty()
+            && !self.peer_heard()
+            && self.now.ms > self.state_ok_at + self.alone_ms()
+    }
+
+    fn peer_heard(&self) -> bool {
+        let now = self.now.ms;
+        let heard = |p: &Peer| p.up && now < p.heard + k::PEER_SILENT_MS;
+        self.peers.iter().any(heard)
+    }
+
     /// A report for the leader inside. `None`: it does not lead any more.
     fn lead_beat(&mut self, report: Report) -> Option<Orders> {
         self.higher_term = self.higher_term.max(report.token);
         let term = self.leader.as_ref().map(|l| l.term)?;
+        if self.alone() {
+            return None;
+        }
         if report.token > term {
             self.advance_role();
             return None;
--- a/crates/control/src/records.rs
+++ b/crates/control/src/records.rs
@@ -4,15 +4,17 @@
 //! | --- | --- | --- |
 //! | `c/leader` | whoever is elected, under its lease | name, nonce and lease; its stamp is the term |
 //! | `c/j/<job>` | any node | the submission and how it ended |
+//! | `c/r/<machine>` | a node that can't reach the leader | the machine's report, handed on |
 //! | `d/<job>/<chunk>` | the leader | finished tasks of one chunk, as a bitmap |
 //! | `m/<machine>` | the leader | what may be on that machine |
 use base64::{engine::general_purpose::STANDARD_NO_PAD, Engine};
 use serde::{Deserialize, Serialize};
-use stonegw_wire::msg::JobSpec;
+use stonegw_wire::msg::{JobSpec, Report};
 
 pub const COMMON: &str = "c/";
 pub const LEADER: &str = "c/leader";
 pub const JOBS: &str = "c/j/";
+pub const FAR: &str = "c/r/";
 pub const DONE: &str = "d/";
 pub const MACHINES: &str = "m/";
 
@@ -22,6 +24,9 @@
 pub fn done_key(job: &str, chunk: u32) -> String {
     format!("{DONE}{job}/{chunk}")
 }
+pub fn far_key(machine: &str) -> String {
+    format!("{FAR}{machine}")
+}
 pub fn machine_key(machine: &str) -> String {
     format!("{MACHINES}{machine}")
 }
@@ -58,6 +63,14 @@
 pub enum Common {
     Job(Box<JobRecord>),
     Leader(LeaderRecord),
+    Far(Box<FarRecord>),
+}
+
+/// A worker's report on its way to a leader that its node can't reach.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FarRecord {
+    pub via: String,
+    pub report: Report,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -96,6 +109,7 @@
     Job(Box<JobRecord>),
     Machine(MachineRecord),
     Done(DoneRecord),
+    Far(Box<FarRecord>),
 }
 
 /// Which tasks are done.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,7 +1,7 @@
 //! Every node's copy of what stands under `c/`: the jobs and who leads.
-use crate::records::{Common, End, JobRecord, LeaderRecord, JOBS, LEADER};
-use std::collections::HashMap;
-use stonegw_wire::msg::{Change, Changes, Entry};
+use crate::records::{Common, End, JobRecord, LeaderRecord, FAR, JOBS, LEADER};
+use std::collections::{BTreeSet, HashMap};
+use stonegw_wire::msg::{Change, Changes, Entry, Report};
 
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -20,6 +20,10 @@
     pub revision: u64,
     /// Jobs that changed and that the leader has not looked at yet.
     pub changed: Vec<String>,
+    /// Reports handed on by nodes that can't reach the leader.
+    pub far: Vec<Report>,
+    /// Machines that have such a record.
+    pub far_keys: BTreeSet<String>,
 }
 
 impl Replica {
@@ -38,6 +42,11 @@
                     self.put_job(id, *record, version);
                 }
             }
+            // The order of reports is in themselves; a late one is told by its number.
+            Common::Far(f) => {
+                self.far_keys.insert(f.report.machine.clone());
+                self.far.push(f.report);
+            }
             Common::Leader(_) => log::warn!("unexpected record at {key}"),
         }
     }
@@ -59,6 +68,9 @@
     }
 
     fn delete(&mut self, key: &str, version: u64) {
+        if let Some(machine) = key.strip_prefix(FAR) {
+            self.far_keys.remove(machine);
+        }
         if key == LEADER && version > self.leader_version {
             self.leader_version = version;
             self.leader = None;
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -87,6 +87,7 @@
         m.life == Life::Up
             && !m.quiet(ctx.now.ms, ctx.set.report_s)
             && m.under_token
+            && !m.far
             && (!m.spot || spec.spot)
             && spec.types.as_ref().is_none_or(|t| t.contains(&m.kind))
             && ctx.now.ms >= m.full_until
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -131,6 +131,8 @@
     pub state_out: BTreeMap<usize, Ms>,
     /// Until when a machine hears and says nothing; what is sent to it arrives afterwards.
     pub cut: BTreeMap<String, Ms>,
+    /// A zone whose machines reach only one node, that node and the zone, until when.
+    pub zone_cut: Option<(String, usize, Ms)>,
     /// Only direct commands to it are held back so long.
     pub hold_do: BTreeMap<String, Ms>,
     pub broken: Vec<String>,
@@ -213,6 +215,7 @@
             state_out: BTreeMap::new(),
             cut: BTreeMap::new(),
             hold_do: BTreeMap::new(),
+            zone_cut: None,
             broken: vec![],
             log: vec![],
             script: vec![],
@@ -286,6 +289,17 @@
         self.settings[from].peers.iter().position(|p| p == name)
     }
 
+    /// Whether a node and a machine in a zone can reach each other.
+    fn apart(&self, node: usize, zone: &str) -> bool {
+        let cut = self.zone_cut.as_ref().filter(|c| self.now < c.2);
+        cut.is_some_and(|(z, inside, _)| (zone == z) != (node == *inside))
+    }
+
+    fn nodes_apart(&self, a: usize, b: usize) -> bool {
+        let cut = self.zone_cut.as_ref().filter(|c| self.now < c.2);
+        cut.is_some_and(|(_, inside, _)| (a == *inside) != (b == *inside))
+    }
+
     pub fn run(&mut self, until: Ms) {
         while let Some(Due(when, _, step)) = self.queue.pop() {
             if when > until {
@@ -361,6 +375,9 @@
                         (other, Link::Out(self.link(other, node).expect("known")))
                     }
                 };
+                if self.nodes_apart(node, other) {
+                    return;
+                }
                 let life = self.lives[other];
                 self.at(
                     self.now + WIRE_MS,
@@ -651,7 +668,12 @@
 
     fn worker_turn(&mut self, id: &str) {
         let now = self.now;
-        let cut = self.cut.get(id).is_some_and(|until| now < *until);
+        let zone = self
+            .workers
+            .get(id)
+            .map_or(String::new(), |w| w.zone.clone());
+        let to = self.workers.get(id).map_or(0, |w| w.node);
+        let cut = self.cut.get(id).is_some_and(|until| now < *until) || self.apart(to, &zone);
         let Some(w) = self.workers.get_mut(id) else {
             return;
         };
@@ -756,6 +778,13 @@
                 },
             );
         }
+        let zone = self
+            .workers
+            .get(&id)
+            .map_or(String::new(), |w| w.zone.clone());
+        if self.apart(node, &zone) {
+            return;
+        }
         let Some(w) = self.workers.get_mut(&id) else {
             return;
         };
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -12,6 +12,7 @@
 //! | `T trap delay KEY S` | that transaction arrives so much later |
 //! | `T refuse leader\|all\|N S` | the state service answers it 503 |
 //! | `T cut MACHINE S` | the machine's network; what is sent to it arrives afterwards |
+//! | `T cut-zone ZONE NODE S` | the zone's machines and that node reach nobody else but the state service |
 //! | `T hold-do MACHINE S` | only direct commands to it are held back |
 //! | `T probe N METHOD PATH` | a stray request; its status is logged |
 //! | `T expect JOB done\|cancelled\|accepted\|open\|STATUS` | what the user was told by then |
@@ -168,6 +169,10 @@
             let until = sim.now + ms(word(2));
             sim.cut.insert(word(1).into(), until);
         }
+        "cut-zone" => {
+            let (zone, until) = (word(1).to_owned(), sim.now + ms(word(3)));
+            sim.zone_cut = Some((zone, word(2).parse().expect("node"), until));
+        }
         "hold-do" => {
             let until = sim.now + ms(word(2));
             sim.hold_do.insert(word(1).into(), until);
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -47,4 +47,5 @@
     state_outage,
     cut_machine,
     team_limit,
+    zone_cut,
 );
