--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -480,12 +480,14 @@
             let kind = m.kind.clone();
             let fetch = self.fetch_s(id, &spec);
             let spare = q.cpus - spec.cpus;
+            let price = self.kind(&kind).map_or(0.0, |t| t.price_per_cpu(m.spot));
             let runs = self.sched.runs(&spec, &kind);
             let mean = runs.mean_s();
             let offer = match &start.curve {
                 None => Offer {
                     chance: Curve::at(fetch).chance(runs.cumulative(), due),
                     finish: fetch + mean,
+                    price,
                     spare,
                 },
                 // The image comes while the task waits, or after: a bound is enough here.
@@ -494,7 +496,8 @@
                     Offer {
                         chance: at.chance(runs.cumulative(), due - fetch),
                         finish: wait + fetch + mean,
-                        spare,
+                        price,
+                    spare,
                     }
                 }
             };
--- a/crates/sched/src/pam.rs
+++ b/crates/sched/src/pam.rs
@@ -102,6 +102,9 @@
 pub struct Offer {
     pub chance: f64,
     pub finish: f64,
+    /// What the machine costs per cpu: the cheaper one wins among equals, so that the dearer
+    /// falls idle and can be returned.
+    pub price: f64,
     /// Free cpus left behind: the tighter fit wins among equals.
     pub spare: f64,
 }
@@ -116,6 +119,9 @@
         if (self.finish - other.finish).abs() > 1.0 {
             return self.finish < other.finish;
         }
+        if (self.price - other.price).abs() > 1e-9 {
+            return self.price < other.price;
+        }
         self.spare < other.spare
     }
 }
@@ -168,11 +174,13 @@
                 chance: 0.9,
                 finish: 50.0,
                 spare: 0.0,
+                price: 1.0,
             },
             Offer {
                 chance: 0.5,
                 finish: 10.0,
                 spare: 0.0,
+                price: 1.0,
             },
         );
         assert!(a.beats(&b) && !b.beats(&a));
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -317,6 +317,14 @@
     pub zones: Vec<String>,
 }
 
+impl MachineType {
+    /// The current price per hour and cpu.
+    pub fn price_per_cpu(&self, spot: bool) -> f64 {
+        let price = if spot { self.spot_price } else { None };
+        price.unwrap_or(self.price) / self.cpus.max(0.01)
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Catalog {
     #[serde(rename = "builds")]
