--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -187,6 +187,10 @@
 pub const SEED_FACTORS: [f64; 7] = [0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0];
 /// How many seeds one observed run time outweighs.
 pub const OBSERVED_WEIGHT: u64 = 5;
+/// Runs that what an earlier leader observed of a job counts for at most.
+pub const INHERITED_RUNS: u32 = 5;
+/// Jobs' worth of trust in the owners' estimates against what ended jobs of the class showed.
+pub const ESTIMATE_TRUST: f64 = 3.0;
 /// ms, the longest run time a histogram tells apart: a day.
 pub const MAX_RUN_MS: u64 = 86_400_000;
 
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -273,6 +273,14 @@
                 // watch; what changed before we looked is in `changed` or taken here.
                 let ids: Vec<String> = ctx.replica.jobs.keys().cloned().collect();
                 ctx.replica.changed = ids;
+                for seen in ctx
+                    .replica
+                    .jobs
+                    .values()
+                    .filter_map(|j| j.record.seen.as_ref())
+                {
+                    self.sched.learn(&seen.class, seen.ratio);
+                }
                 self.take_changes(ctx);
                 let period = (ctx.set.report_s * 1.25 * 1e3) as u64;
                 self.set_stage(Stage::Settling {
@@ -379,6 +387,7 @@
                 work.done_count = work.spec.tasks - work.pending.len() as u32;
                 let stored = Stored::at(e.version);
                 work.chunks.insert(chunk, Chunk { stored });
+                self.sched.inherit(job, e.value.runs, e.value.run_s);
             }
             Some(_) => self.drops.push((e.key, Stored::at(e.version))),
             None => self.early.push(e),
@@ -1181,6 +1190,7 @@
                 let record = JobRecord {
                     spec: None,
                     end: Some(End::Done),
+                    seen: self.sched.seen(&w.spec),
                     ..j.record.clone()
                 };
                 let item = Item::End {
@@ -1209,7 +1219,8 @@
                     chunk: *n,
                     exits: exits(Some(*n)),
                 };
-                let value = Value::Done(DoneRecord { bits });
+                let (runs, run_s) = self.sched.observed(id);
+                let value = Value::Done(DoneRecord { bits, runs, run_s });
                 if add(done_key(id, *n), version, Some(value), item) {
                     c.stored.dirty = false;
                     c.stored.writing = true;
@@ -1396,10 +1407,14 @@
                         let record = JobRecord {
                             spec: None,
                             end: Some(End::Done),
+                            seen: None,
                             ..j.record.clone()
                         };
                         ctx.replica.put_job(&job, record, revision);
                     }
+                    if let Some(s) = self.works.get(&job).and_then(|w| self.sched.seen(&w.spec)) {
+                        self.sched.learn(&s.class, s.ratio);
+                    }
                     log::info!("job {job} done");
                     self.ended(&job, End::Done);
                 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -937,6 +937,7 @@
                         at: self.now.wall_ms,
                         spec: Some((**spec).clone()),
                         end: None,
+                        seen: None,
                     };
                     (spec.id.clone(), record, 0)
                 }
@@ -1007,6 +1008,7 @@
                                 at: self.now.wall_ms,
                                 spec: Some((**spec).clone()),
                                 end: None,
+                                seen: None,
                             };
                             let id = spec.id.clone();
                             self.replica.put_job(&id, record, answer.revision);
--- a/crates/control/src/records.rs
+++ b/crates/control/src/records.rs
@@ -47,6 +47,15 @@
     pub spec: Option<JobSpec>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub end: Option<End>,
+    /// How long its tasks ran against the estimate: a later leader learns from it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seen: Option<Seen>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    pub class: String,
+    pub ratio: f64,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -76,6 +85,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DoneRecord {
     pub bits: String,
+    /// Runs observed in the whole job and their mean, s: a new leader goes on from them.
+    #[serde(default)]
+    pub runs: u32,
+    #[serde(default)]
+    pub run_s: f64,
 }
 
 /// One task that may be on the machine. Self-contained, so that a new leader can count it
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -126,6 +126,7 @@
             at: 0,
             spec: None,
             end,
+            seen: None,
         }
     }
 
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -5,6 +5,7 @@
 use crate::api::Ms;
 use crate::leader::{immediate, zone_allows, Ctx, Leader};
 use crate::ledger::{team_usage, Life, Machine, Phase, Work};
+use crate::records::Seen;
 use std::collections::{BTreeMap, HashMap};
 use stonegw_constants as k;
 use stonegw_sched::curve::Curve;
@@ -19,32 +20,88 @@
     runs: HashMap<String, HashMap<String, RunTimes>>,
     map_at: Ms,
     place_at: Ms,
+    /// Runs per job: how many and their sum in s, over all types.
+    observed: HashMap<String, (u32, f64)>,
+    /// Per class: how many jobs ended, and the sum of the logarithms of run over estimate.
+    ratios: HashMap<String, (f64, f64)>,
 }
 
 impl Scheduler {
     pub fn runs(&mut self, spec: &JobSpec, kind: &str) -> &mut RunTimes {
+        let scale = self.scale(&spec.class);
+        let seen = self.observed.get(&spec.id).copied();
         let per_type = self.runs.entry(spec.id.clone()).or_default();
         if !per_type.contains_key(kind) {
-            per_type.insert(kind.into(), RunTimes::seeded(spec.estimate_s, 1.0));
+            let mut runs = RunTimes::seeded(spec.estimate_s, scale);
+            // What an earlier leader saw counts as much as a few runs of our own.
+            if let Some((n, sum)) = seen.filter(|s| s.0 > 0) {
+                for _ in 0..n.min(k::INHERITED_RUNS) {
+                    runs.record(sum / f64::from(n));
+                }
+            }
+            per_type.insert(kind.into(), runs);
         }
         per_type.get_mut(kind).expect("just inserted")
     }
 
     pub fn record(&mut self, spec: &JobSpec, kind: &str, run_s: f64) {
         self.runs(spec, kind).record(run_s);
+        let o = self.observed.entry(spec.id.clone()).or_default();
+        o.0 += 1;
+        o.1 += run_s;
     }
 
     pub fn forget(&mut self, job: &str) {
         self.runs.remove(job);
+        self.observed.remove(job);
+    }
+
+    /// Runs observed of a job and their mean.
+    pub fn observed(&self, job: &str) -> (u32, f64) {
+        let (n, sum) = self.observed.get(job).copied().unwrap_or_default();
+        (n, sum / f64::from(n.max(1)))
+    }
+
+    /// What an earlier leader had observed of a job. Without it the histograms would start
+    /// from estimates again, and wrong estimates drive drops and too small a fleet.
+    pub fn inherit(&mut self, job: &str, runs: u32, run_s: f64) {
+        if runs > 0 && run_s.is_finite() && run_s > 0.0 {
+            let sum = run_s * f64::from(runs);
+            self.observed.insert(job.into(), (runs, sum));
+        }
+    }
+
+    pub fn seen(&self, spec: &JobSpec) -> Option<Seen> {
+        let (n, mean) = self.observed(&spec.id);
+        (n > 0 && spec.estimate_s > 0.0).then(|| Seen {
+            class: spec.class.clone(),
+            ratio: mean / spec.estimate_s,
+        })
+    }
+
+    /// A job of the class ended: owners err alike on some days.
+    pub fn learn(&mut self, class: &str, ratio: f64) {
+        if ratio.is_finite() && ratio > 0.0 {
+            let r = self.ratios.entry(class.into()).or_default();
+            r.0 += 1.0;
+            r.1 += ratio.ln();
+        }
+    }
+
+    /// By how much the class's estimates are off, with a few jobs' worth of trust in them.
+    pub fn scale(&self, class: &str) -> f64 {
+        let (n, sum) = self.ratios.get(class).copied().unwrap_or_default();
+        (sum / (n + k::ESTIMATE_TRUST)).exp()
     }
 
     /// The mean run time over the types seen so far, or the estimate.
     pub fn mean_s(&self, spec: &JobSpec) -> f64 {
+        let guess = spec.estimate_s * self.scale(&spec.class);
         let Some(per_type) = self.runs.get(&spec.id) else {
-            return spec.estimate_s;
+            return guess;
         };
         let best = per_type.values().max_by_key(|r| r.observed);
-        best.map_or(spec.estimate_s, RunTimes::mean_s)
+        best.map_or(guess, RunTimes::mean_s)
     }
 }
 
@@ -497,7 +554,7 @@
                         chance: at.chance(runs.cumulative(), due - fetch),
                         finish: wait + fetch + mean,
                         price,
-                    spare,
+                        spare,
                     }
                 }
             };
