What an earlier leader placed is not gone with a session it may postdate

Cause found by reasoning from 313 s, the moment a new leader became active: it had first heard an old report handed on through the state service, then one of the next session, and took all inherited tasks for gone, though they may have been sent in the newer session. Now that needs a report under our own token in the older one; handed-on reports without our token are passed over. Trace old_session_report breaks ran_twice without the guard.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -146,6 +146,12 @@
 /// Part of a worker's lease, without a word, after which a machine counts as lost and is
 /// deleted to free its tasks: the delete is the proof, and costs at most a machine.
 pub const LOST_LEASES: f64 = 1.1;
+/// ms a worker loses at a node that does not answer: 4 s of waiting and a second's pause.
+pub const WORKER_TRY_MS: u64 = 5_000;
+/// ms on top of a report period and two such tries after which a machine with urgent replicas
+/// counts as lost, as long as few are silent: waiting out the lease costs more than a machine
+/// that might have come back.
+pub const LOST_URGENT_MS: u64 = 2_500;
 /// ms, first wait after a failed start of a task; doubled each time.
 pub const START_RETRY_MS: u64 = 1_000;
 /// ms, longest wait between starts of a task that keeps failing.
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -145,6 +145,15 @@
     pub wake: bool,
 }
 
+/// Why everything on a machine is gone.
+#[derive(Clone, Copy)]
+enum Gone {
+    /// The cloud has deleted it.
+    Machine,
+    /// Its worker began a new session.
+    Session { inherited_too: bool },
+}
+
 impl Leader {
     pub fn new(term: u64, lease: u64, now: Ms, catalog: Catalog) -> Leader {
         Leader {
@@ -233,6 +242,10 @@
                 self.deposed = true;
                 return;
             }
+            // Without our token it may be as old as the record; nothing follows from it.
+            if report.token < self.term {
+                continue;
+            }
             let id = report.machine.clone();
             if self.hear(ctx, report, false) {
                 if let Some(m) = self.machines.get_mut(&id) {
@@ -540,15 +553,17 @@
     }
 
     /// Everything on the machine is proven gone.
-    pub fn all_gone(&mut self, id: &str, only_sent: bool) {
+    fn all_gone(&mut self, id: &str, how: Gone) {
         let Some(m) = self.machines.get_mut(id) else {
             return;
         };
         let mut gone = vec![];
         m.placements.retain(|p| {
-            let unsent = matches!(p.phase, Phase::New | Phase::Ready);
-            if only_sent && unsent && !p.inherited {
-                return true;
+            if let Gone::Session { inherited_too } = how {
+                let unsent = matches!(p.phase, Phase::New | Phase::Ready);
+                if unsent || p.inherited && !inherited_too {
+                    return true;
+                }
             }
             // What it finished here counts only once stored; without the worker's word for it
             // any more, it still was finished.
@@ -610,6 +625,9 @@
             return false;
         }
         let new_session = report.session > m.session && m.heard.is_some();
+        // What an earlier leader placed may have been sent in either session, unless the worker
+        // had already seen our token in the old one.
+        let inherited_too = m.under_token;
         let first = m.heard.is_none();
         m.count_use(now);
         m.session = report.session;
@@ -640,7 +658,7 @@
             log::warn!("machine {id} began session {}", report.session);
             m.do_lost = false;
             m.images.clear();
-            self.all_gone(&id, true);
+            self.all_gone(&id, Gone::Session { inherited_too });
         }
         self.compare(ctx, &id, &report.tasks, beat);
         true
@@ -1042,13 +1060,27 @@
                 return;
             }
         }
+        let period = (ctx.set.report_s * 1.25 * 1e3) as u64;
+        let urgent_ms = (period + 2 * k::WORKER_TRY_MS + k::LOST_URGENT_MS).min(lost_ms);
+        let few = quiet <= k::SILENT_FEW;
         let lost_ms = if many { lost_ms * 3 } else { lost_ms };
+        let urgent = |m: &Machine| {
+            m.placements.iter().any(|p| {
+                let work = self.works.get(&p.job).filter(|_| p.present());
+                work.is_some_and(|w| w.urgent())
+            })
+        };
         for m in self.machines.values_mut() {
             let quiet_ms = now.saturating_sub(m.heard.unwrap_or(m.known_since));
             let mattered = m.heard.is_some() || !m.placements.is_empty();
             if matches!(m.life, Life::Up | Life::Draining | Life::Booting) && settled && mattered {
                 let taken = m.notice.is_some_and(|t| now > t + 2_000);
                 let vanished = m.missing >= 2 || taken;
+                let lost_ms = if few && m.heard.is_some() && !m.far && urgent(m) {
+                    urgent_ms
+                } else {
+                    lost_ms
+                };
                 if quiet_ms > lost_ms || (vanished && m.quiet(now, ctx.set.report_s)) {
                     // The delete is the proof that everything on it is gone.
                     log::warn!("machine {} is lost after {} ms", m.id, quiet_ms);
@@ -1089,7 +1121,7 @@
 
     /// The cloud confirmed: the machine and everything on it are gone.
     pub fn machine_deleted(&mut self, now: Ms, id: &str) {
-        self.all_gone(id, false);
+        self.all_gone(id, Gone::Machine);
         self.deleted.insert(id.into(), now);
         if let Some(m) = self.machines.get_mut(id) {
             for (job, index) in std::mem::take(&mut m.held) {
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -133,6 +133,8 @@
     pub cut: BTreeMap<String, Ms>,
     /// A zone whose machines reach only one node, that node and the zone, until when.
     pub zone_cut: Option<(String, usize, Ms)>,
+    /// Reports kept back, to be delivered late, one at a time.
+    pub kept: std::collections::VecDeque<Vec<u8>>,
     /// Only direct commands to it are held back so long.
     pub hold_do: BTreeMap<String, Ms>,
     pub broken: Vec<String>,
@@ -215,6 +217,7 @@
             state_out: BTreeMap::new(),
             cut: BTreeMap::new(),
             hold_do: BTreeMap::new(),
+            kept: Default::default(),
             zone_cut: None,
             broken: vec![],
             log: vec![],
@@ -666,6 +669,15 @@
         }
     }
 
+    /// Delivers the kept report to a node; nobody waits for the answer.
+    pub fn deliver_kept(&mut self, node: usize) {
+        if let Some(body) = self.kept.pop_front() {
+            self.next_ask += 1;
+            self.asks.insert(self.next_ask, Asker::Probe);
+            self.ask(self.next_ask, node, "POST", "/agent/beat", body);
+        }
+    }
+
     fn worker_turn(&mut self, id: &str) {
         let now = self.now;
         let zone = self
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -13,6 +13,8 @@
 //! | `T refuse leader\|all\|N S` | the state service answers it 503 |
 //! | `T cut MACHINE S` | the machine's network; what is sent to it arrives afterwards |
 //! | `T cut-zone ZONE NODE S` | the zone's machines and that node reach nobody else but the state service |
+//! | `T new-session MACHINE` | its worker kills and forgets everything |
+//! | `T keep-report MACHINE` / `T deliver-kept N` | a report now made arrives at a node then |
 //! | `T hold-do MACHINE S` | only direct commands to it are held back |
 //! | `T probe N METHOD PATH` | a stray request; its status is logged |
 //! | `T expect JOB done\|cancelled\|accepted\|open\|STATUS` | what the user was told by then |
@@ -173,6 +175,22 @@
             let (zone, until) = (word(1).to_owned(), sim.now + ms(word(3)));
             sim.zone_cut = Some((zone, word(2).parse().expect("node"), until));
         }
+        "new-session" => {
+            let now = sim.now;
+            sim.workers
+                .get_mut(word(1))
+                .expect("machine")
+                .lose_session(now);
+        }
+        "keep-report" => {
+            let report = sim.workers.get_mut(word(1)).expect("machine").report();
+            sim.kept.push_back(stonegw_wire::msg::encode(&report));
+        }
+        "deliver-kept" => {
+            for n in targets(sim, word(1)) {
+                sim.deliver_kept(n);
+            }
+        }
         "hold-do" => {
             let until = sim.now + ms(word(2));
             sim.hold_do.insert(word(1).into(), until);
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -48,4 +48,5 @@
     cut_machine,
     team_limit,
     zone_cut,
+    old_session_report,
 );
