--- /dev/null
+++ b/crates/testkit/mutants.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Takes one guard after another out of a copy of the sources and shows that its trace then
+# breaks a rule. Not part of CI: it builds once a guard. Run it after changing either.
+set -euo pipefail
+root="$(cd "$(dirname "$0")/../.." && pwd)"
+copy="$root/target/mutants"
+mkdir -p "$copy"
+bad=0
+mutant() { # trace, rule, file, perl substitution
+    rm -rf "$copy/crates"
+    cp -r "$root/crates" "$root/Cargo.toml" "$root/Cargo.lock" "$copy/"
+    perl -0pi -e "$4" "$copy/crates/control/src/$3"
+    if cmp -s "$copy/crates/control/src/$3" "$root/crates/control/src/$3"; then
+        echo "STALE  $1: the guard was not found in $3"; bad=1; return
+    fi
+    out="$(cd "$copy" && CARGO_TARGET_DIR="$copy/target" cargo test -q --locked -p stonegw-testkit --test traces "$1" 2>&1 || true)"
+    if grep -q "BROKEN $2" <<<"$out"; then echo "ok     $1 breaks $2 without its guard"
+    else echo "ALIVE  $1 does not break $2"; tail -5 <<<"$out"; bad=1; fi
+}
+mutant run_waits_for_store ran_twice leader.rs 's/phase: Phase::New,/phase: Phase::Ready,/'
+mutant old_session_report ran_twice leader.rs 's/if unsent \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if unsent/'
+mutant late_direct_command ran_twice leader.rs 's/if settled && beat && !open/if settled \&\& beat/'
+mutant cancel_races_a_start ran_cancelled leader.rs 's/if open \{/if false {/; s/settled && beat && !open/settled \&\& beat/; s/stop\.is_some\(\) && beat && !open/stop.is_some() \&\& beat/'
+mutant stale_node went_back node.rs 's/if self\.replica\.end_of\(job\)\.is_some\(\) \{\n            let status/if self.replica.jobs.contains_key(job) {\n            let status/'
+mutant team_limit quota ledger.rs 's/for p in machines\.values\(\)\.flat_map/for p in machines.values().filter(|m| m.heard.is_some()).flat_map/'
+mutant leader_ends_while_tasks_run ran_twice leader.rs 's/for p in e\.value\.tasks \{/for p in e.value.tasks.into_iter().take(0) {/'
+exit $bad
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -173,6 +173,7 @@
                 max_sockets: 1000,
                 tuning: Tuning {
                     spare_tasks: 0.0,
+                    idle_boots: 100.0,
                     ..Tuning::default()
                 },
             })
@@ -988,7 +989,7 @@
             return;
         }
         self.turn += 1;
-        let node = alive[self.turn % alive.len()];
+        let node = alive[(self.turn + self.turn / alive.len()) % alive.len()];
         self.ask(ask, node, method, &path, body);
     }
 
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -49,4 +49,7 @@
     team_limit,
     zone_cut,
     old_session_report,
+    run_waits_for_store,
+    stale_node,
+    node_ends_before_submission_is_stored,
 );
