--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -235,5 +235,7 @@
 /// Part of the time left to a deadline that the fleet is sized for; the remainder covers late
 /// starts and wrong estimates.
 pub const SLACK_USE: f64 = 0.7;
-/// Run times that a machine rented for a deadline must get after its boot.
-pub const RUN_ROOM: f64 = 1.5;
+/// Run times after its boot that a machine rented for a deadline needs to be of use for it.
+pub const RUN_ROOM: f64 = 1.2;
+/// Run times after its boot in which rented machines are to finish what is late.
+pub const LATE_ROOM: f64 = 4.0;
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -342,9 +342,13 @@
             let due = w.due_s(ctx.now.wall_ms);
             if let Some(due) = due {
                 let run = self.sched.mean_s(s).max(1.0);
-                // A machine rented now must get time for a run at least; what is late already
-                // is given that much.
-                let due = due.max(boot + run * k::RUN_ROOM);
+                // What a machine rented now would not finish in time is late either way: then
+                // few machines that work for a while are better than many for one run each.
+                let due = if due < boot + run * k::RUN_ROOM {
+                    boot + run * k::LATE_ROOM
+                } else {
+                    due
+                };
                 dated.push((due, run, s.clone(), n));
                 continue;
             }
