--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -257,9 +257,13 @@
                             && self.usable(ctx, m, w)
                     })
                     .min_by(|a, b| {
+                        // The soonest start, then the cheaper machine, then the tighter fit.
                         let key = |m: &Machine| {
-                            let free = self.kind(&m.kind).map_or(0.0, |kd| m.free(kd).0);
-                            (!m.has_image(&spec.image), (free * 100.0) as i64)
+                            let kind = self.kind(&m.kind);
+                            let free = kind.map_or(0.0, |t| m.free(t).0);
+                            let price = kind.map_or(0.0, |t| t.price_per_cpu(m.spot));
+                            let fetch = self.fetch_s(&m.id, &spec).round() as i64;
+                            (fetch, (price * 1e4) as i64, (free * 100.0) as i64)
                         };
                         key(a).cmp(&key(b))
                     })
