--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -209,6 +209,10 @@
             Stage::Settling { until } if now >= until => {
                 self.set_stage(Stage::Active);
                 self.wake = true;
+                // What was late before our time tells nothing of the present load.
+                for w in self.works.values_mut() {
+                    w.missed = w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0);
+                }
             }
             Stage::Settling { .. } | Stage::Active => {}
         }
@@ -1045,7 +1049,11 @@
         let now = ctx.now.ms;
         let lost_ms = (ctx.set.lease_s * k::LOST_LEASES * 1e3) as u64;
         let settled = self.stage == Stage::Active && self.confirmed(ctx);
-        let heard = |m: &&Machine| m.heard.is_some() && matches!(m.life, Life::Up | Life::Draining);
+        // Machines that a predecessor left with tasks count before they are heard.
+        let heard = |m: &&Machine| {
+            (m.heard.is_some() || !m.placements.is_empty())
+                && matches!(m.life, Life::Booting | Life::Up | Life::Draining)
+        };
         let all = self.machines.values().filter(heard).count();
         let silent = |m: &&Machine| m.quiet(now, ctx.set.report_s);
         let quiet = self.machines.values().filter(heard).filter(silent).count();
@@ -1076,7 +1084,7 @@
             if matches!(m.life, Life::Up | Life::Draining | Life::Booting) && settled && mattered {
                 let taken = m.notice.is_some_and(|t| now > t + 2_000);
                 let vanished = m.missing >= 2 || taken;
-                let lost_ms = if few && m.heard.is_some() && !m.far && urgent(m) {
+                let lost_ms = if few && !m.far && urgent(m) {
                     urgent_ms
                 } else {
                     lost_ms
