--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -24,8 +24,9 @@
 pub const SLOW_MS: u64 = 5_000;
 /// Sockets kept back from accepting, for our own calls to state, cloud, workers and peers.
 pub const RESERVED_SOCKETS: usize = 160;
-/// ms between turns of the timers: a twentieth of a second costs little and bounds lateness.
-pub const TICK_MS: u64 = 50;
+/// ms between turns of the timers at most. Each turn costs system calls, which a few per cent of
+/// a core feel; no timer here needs more than a tenth of a second.
+pub const TICK_MS: u64 = 100;
 /// Bytes read from a socket at once.
 pub const READ_CHUNK: usize = 16 * 1024;
 /// Bytes of unsent output after which a peer link is cut: it has stopped reading.
@@ -141,6 +142,8 @@
 pub const DO_TIMEOUT_MS: u64 = 2_500;
 /// ms a relayed report waits for the leader; workers give up after 4 s.
 pub const RELAY_TIMEOUT_MS: u64 = 2_500;
+/// ms between two looks at which machines are silent: their limits are seconds.
+pub const WATCH_MACHINES_MS: u64 = 250;
 /// Report periods without a word after which a machine gets no new tasks.
 pub const QUIET_PERIODS: f64 = 2.5;
 /// Part of a worker's lease, without a word, after which a machine counts as lost and is
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -123,6 +123,7 @@
     renew_sent: Ms,
     pub stage: Stage,
     since: Ms,
+    watch_at: Ms,
     renew_at: Ms,
     renewing: bool,
     load: Option<(&'static str, Option<String>, bool, Ms)>,
@@ -165,6 +166,7 @@
             renew_sent: now,
             stage: Stage::Loading,
             since: now,
+            watch_at: 0,
             renew_at: now + k::RENEW_MS,
             renewing: false,
             load: Some((MACHINES, None, false, now)),
@@ -221,7 +223,10 @@
         }
         self.take_changes(ctx);
         self.take_far(ctx);
-        self.watch_machines(ctx);
+        if now >= self.watch_at {
+            self.watch_at = now + k::WATCH_MACHINES_MS;
+            self.watch_machines(ctx);
+        }
         if self.stage == Stage::Active {
             self.schedule(ctx);
             // A request to the cloud can be carried out late, after another leader has made
--- a/crates/stonegwd/src/main.rs
+++ b/crates/stonegwd/src/main.rs
@@ -70,7 +70,9 @@
     let mut node = Node::new(core, rand::rngs::SmallRng::from_os_rng().random());
     let mut events = vec![Event::Start];
     loop {
-        events.push(Event::Tick);
+        if events.is_empty() {
+            events.push(Event::Tick);
+        }
         for event in events.drain(..) {
             let now = Now {
                 ms: net.now(),
