--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -221,7 +221,7 @@
 pub const REFUSED_MAX_MS: u64 = 60_000;
 /// Boot times for which an idle machine is kept: renting it again costs one, so keeping it as
 /// long is never much worse than knowing the future.
-pub const IDLE_BOOTS: f64 = 0.5;
+pub const IDLE_BOOTS: f64 = 0.35;
 /// Multiples of the catalogue's boot time after which a booting machine is given up. Usual
 /// boots take up to 1.5 times.
 pub const BOOT_GIVE_UP: f64 = 3.0;
@@ -237,7 +237,7 @@
 pub const HIRE_STEP: u32 = 8;
 /// Part of the time left to a deadline that the fleet is sized for; the remainder covers late
 /// starts and wrong estimates.
-pub const SLACK_USE: f64 = 0.7;
+pub const SLACK_USE: f64 = 0.85;
 /// Run times after its boot that a machine rented for a deadline needs to be of use for it.
 pub const RUN_ROOM: f64 = 1.2;
 /// Run times after its boot in which rented machines are to finish what is late.
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -55,6 +55,8 @@
 
 /// Room as the sizing sees it.
 struct Bin {
+    /// Seconds until it is up.
+    eta: f64,
     kind: String,
     zone: String,
     spot: bool,
@@ -288,7 +290,13 @@
             let coming = m.life == Life::Booting && age < t.boot_s * k::BOOT_OVERDUE;
             let up = m.life == Life::Up && !m.quiet(now, ctx.set.report_s);
             if coming || up {
+                let eta = if up {
+                    0.0
+                } else {
+                    (t.boot_s - age).max(t.boot_s * 0.2)
+                };
                 bins.push(Bin {
+                    eta,
                     kind: m.kind.clone(),
                     zone: m.zone.clone(),
                     spot: m.spot,
@@ -300,6 +308,7 @@
             if let Some(t) = self.kind(&r.hire.machine_type) {
                 for _ in 0..r.hire.count {
                     bins.push(Bin {
+                        eta: t.boot_s,
                         kind: t.name.clone(),
                         zone: r.hire.zone.clone(),
                         spot: r.hire.spot,
@@ -388,20 +397,21 @@
         // Deadline work: what the machines at hand can do by each deadline, earliest first, is
         // not rented for, though it may have to wait.
         dated.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let cpus = self.dated_cpus(&bins);
+        let mut cpus = self.dated_cpus(&bins);
         let mut work = self.dated_running();
-        let mut later = 0.0;
         for (due, run, s, n) in dated {
             work += n as f64 * s.cpus * run;
-            let use_s = |from: f64| (due - from - run * 0.5).max(1.0) * ctx.set.tuning.slack_use;
-            let short = work - cpus * use_s(0.0) - later * use_s(boot);
+            // What cpus that are up after `eta` can do by then; the last run must fit in.
+            let use_s = |eta: f64| (due - eta - run * 0.5).max(0.0) * ctx.set.tuning.slack_use;
+            let can: f64 = cpus.iter().map(|(c, eta)| c * use_s(*eta)).sum();
+            let short = work - can;
             if short <= 0.0 {
                 continue;
             }
-            let more = (short / use_s(boot)).min(n as f64 * s.cpus);
+            let more = (short / use_s(boot).max(1.0)).min(n as f64 * s.cpus);
             let tasks = (more / s.cpus.max(0.01)).ceil() as usize;
             self.rent_for(now, &s, tasks.min(n), &mut bins, &mut hires, true);
-            later += tasks as f64 * s.cpus;
+            cpus.push((tasks as f64 * s.cpus, boot));
         }
         for ((kind, zone, spot), count) in hires {
             self.fleet.next_hire += 1;
@@ -422,9 +432,9 @@
         }
     }
 
-    /// The cpus that deadline work may use: all but those of deadline-free tasks.
-    fn dated_cpus(&self, bins: &[Bin]) -> f64 {
-        let free: f64 = bins.iter().map(|b| b.free.0.max(0.0)).sum();
+    /// The cpus that deadline work may use, with the seconds until they are up: all but those of
+    /// deadline-free tasks.
+    fn dated_cpus(&self, bins: &[Bin]) -> Vec<(f64, f64)> {
         let used: f64 = self
             .machines
             .values()
@@ -437,7 +447,8 @@
             })
             .map(|p| p.cpus)
             .sum();
-        free + used
+        let free = bins.iter().map(|b| (b.free.0.max(0.0), b.eta));
+        free.chain([(used, 0.0)]).filter(|c| c.0 > 0.0).collect()
     }
 
     /// cpu-seconds that running deadline tasks still need, about: half a run each.
@@ -514,6 +525,7 @@
                 .entry((t.name.clone(), zone.clone(), spot))
                 .or_default() += 1;
             bins.push(Bin {
+                eta: t.boot_s,
                 kind: t.name.clone(),
                 zone: zone.clone(),
                 spot,
