Borrowed room is returned to teams within their guarantee

Cause: a job within its team's guarantee waited behind other teams' borrowed room. The tasks that ran least, above their own team's guarantee, now make way.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -203,6 +203,13 @@
 /// ms, the longest run time a histogram tells apart: a day.
 pub const MAX_RUN_MS: u64 = 86_400_000;
 
+/// ms a job within its team's guarantee waits before other teams must return borrowed room.
+pub const GUARANTEE_WAIT_MS: u64 = 1_500;
+/// ms of run time that a borrowed task may lose to it at most.
+pub const GUARANTEE_LOSS_MS: u64 = 15_000;
+/// Tasks for which room is reclaimed in one mapping at most.
+pub const GUARANTEE_STEP: usize = 12;
+
 // ---- Fleet ------------------------------------------------------------------------------
 
 /// ms between fleet decisions.
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -12,7 +12,7 @@
 use stonegw_sched::pam::{soonest, Offer, Queue, Slot};
 use stonegw_sched::pruner::{Pruner, Toggle};
 use stonegw_sched::runtimes::RunTimes;
-use stonegw_wire::msg::{JobSpec, Priority};
+use stonegw_wire::msg::{JobKind, JobSpec, Priority};
 
 #[derive(Default)]
 pub struct Scheduler {
@@ -185,6 +185,7 @@
             self.sched.map_at = now + ctx.set.tuning.map_ms;
             self.map(ctx);
             self.place_now(ctx, false);
+            self.reclaim(ctx);
         }
     }
 
@@ -275,7 +276,7 @@
                     }
                     None => {
                         if urgent {
-                            self.preempt(ctx, &job, &mut claimed);
+                            self.preempt(ctx, &job, &mut claimed, false);
                         }
                         break;
                     }
@@ -285,10 +286,25 @@
     }
 
     /// Stops work of lower priority where that loses least, so that an urgent task can start.
-    fn preempt(&mut self, ctx: &Ctx, job: &str, claimed: &mut HashMap<String, (f64, f64, f64)>) {
+    fn preempt(
+        &mut self,
+        ctx: &Ctx,
+        job: &str,
+        claimed: &mut HashMap<String, (f64, f64, f64)>,
+        guarantee: bool,
+    ) -> bool {
         let now = ctx.now.ms;
-        let Some(w) = self.works.get(job) else { return };
+        let Some(w) = self.works.get(job) else {
+            return false;
+        };
         let spec = w.spec.clone();
+        // What teams keep, not counting what is being stopped.
+        let mut used: HashMap<&str, f64> = HashMap::new();
+        for p in self.machines.values().flat_map(|m| &m.placements) {
+            if p.present() && p.stop.is_none() {
+                *used.entry(&p.team).or_default() += p.cpus;
+            }
+        }
         let mut best: Option<(u64, String, Vec<u64>)> = None;
         for m in self.machines.values() {
             let Some(kind) = self.kind(&m.kind) else {
@@ -303,13 +319,25 @@
             g -= taken.1;
             mem -= taken.2;
             let mut victims = vec![];
+            let mut out: HashMap<String, f64> = HashMap::new();
             for p in m.placements.iter().filter(|p| p.present()) {
                 if p.stop.is_some() {
                     c += p.cpus;
                     g += p.gpus;
                     mem += p.memory;
                 } else if let Some(v) = self.works.get(&p.job) {
-                    if v.spec.priority < spec.priority && p.phase != Phase::Saving {
+                    // Beyond lower priority, only what another team runs above its guarantee.
+                    let excess = guarantee
+                        && v.spec.team != spec.team
+                        && v.spec.kind != JobKind::Service
+                        && p.running_at.is_none_or(|t| now < t + k::GUARANTEE_LOSS_MS)
+                        && ctx.set.team(&v.spec.team).is_some_and(|t| {
+                            let kept = used.get(v.spec.team.as_str()).copied().unwrap_or(0.0);
+                            let going = out.entry(v.spec.team.clone()).or_insert(0.0);
+                            *going += p.cpus;
+                            kept - *going >= t.cpus - k::EPSILON
+                        });
+                    if (v.spec.priority < spec.priority || excess) && p.phase != Phase::Saving {
                         let ran = p.running_at.map_or(0, |t| now.saturating_sub(t));
                         victims.push((ran, p));
                     }
@@ -337,7 +365,7 @@
             }
         }
         let Some((cost, id, stops)) = best else {
-            return;
+            return false;
         };
         let claim = claimed.entry(id.clone()).or_default();
         claim.0 += spec.cpus;
@@ -350,8 +378,16 @@
             );
         }
         let Some(m) = self.machines.get_mut(&id) else {
-            return;
+            return false;
         };
+        if guarantee {
+            // Held tasks must not take the room that is being made.
+            for (job, index) in std::mem::take(&mut m.held) {
+                if let Some(w) = self.works.get_mut(&job) {
+                    w.give_back(index);
+                }
+            }
+        }
         for p in m
             .placements
             .iter_mut()
@@ -366,6 +402,7 @@
             });
             p.stop = Some(saves);
         }
+        true
     }
 
     /// One mapping event.
@@ -508,6 +545,39 @@
         }
     }
 
+    /// Work within its team's guarantee that found no room: other teams return what they borrow,
+    /// the tasks that have run least.
+    fn reclaim(&mut self, ctx: &Ctx) {
+        let mut teams = self.teams(ctx);
+        let mut claimed = HashMap::new();
+        let waiting: Vec<(String, JobSpec, usize)> = self
+            .works
+            .iter()
+            .filter(|(_, w)| !w.ending && ctx.now.ms >= w.retry_at && w.spec.deadline_s.is_some())
+            .filter(|(_, w)| {
+                let age = ctx.now.wall_ms.saturating_sub(w.at);
+                age > k::GUARANTEE_WAIT_MS && w.due_s(ctx.now.wall_ms).is_some_and(|d| d > 0.0)
+            })
+            .map(|(id, w)| {
+                let n = w.pending.len().saturating_sub(w.dropped.len());
+                (id.clone(), w.spec.clone(), n)
+            })
+            .collect();
+        let mut left = k::GUARANTEE_STEP;
+        for (job, spec, n) in waiting {
+            for _ in 0..n {
+                if left == 0 || !teams.within_guarantee(&spec) || !teams.allows(&spec) {
+                    break;
+                }
+                left -= 1;
+                if !self.preempt(ctx, &job, &mut claimed, true) {
+                    break;
+                }
+                teams.take(&spec);
+            }
+        }
+    }
+
     fn fetch_s(&self, machine: &str, spec: &JobSpec) -> f64 {
         let Some(m) = self.machines.get(machine) else {
             return 0.0;
