--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1075,7 +1075,7 @@
         }
         let period = (ctx.set.report_s * 1.25 * 1e3) as u64;
         let urgent_ms = (period + 2 * k::WORKER_TRY_MS + k::LOST_URGENT_MS).min(lost_ms);
-        let few = quiet <= k::SILENT_FEW;
+        let few = quiet <= k::SILENT_FEW || (quiet as f64) < all as f64 * k::SILENT_FEW_PART;
         let lost_ms = if many { lost_ms * 3 } else { lost_ms };
         let urgent = |m: &Machine| {
             m.placements.iter().any(|p| {
