--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -240,6 +240,10 @@
 pub const HIRE_MAX: u32 = 50;
 /// Names in one delete request (the protocol's limit).
 pub const DELETE_MAX: usize = 100;
+/// ms over which arrivals of urgent services are counted.
+pub const ARRIVALS_MS: u64 = 180_000;
+/// Boot times after which a booting machine is not counted as room for urgent services.
+pub const SPARE_OVERDUE: f64 = 1.2;
 /// Kept free for urgent work: tasks of the usual urgent size.
 pub const SPARE_TASKS: f64 = 2.0;
 /// Most machines rented in one decision of one kind: keeps a wrong estimate cheap.
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -5,7 +5,7 @@
 use crate::ledger::{team_usage, Life, Machine, Phase};
 use crate::node::describe;
 use crate::settings::Bucket;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use stonegw_constants as k;
 use stonegw_wire::msg::{
     decode, encode, Catalog, Hire, JobKind, JobSpec, ListedMachine, MachineList, MachineState,
@@ -51,6 +51,8 @@
     refused: HashMap<(String, String, bool), (Ms, u64)>,
     /// The latest urgent service seen, the size that spare room is kept for.
     pub usual: Option<JobSpec>,
+    /// When urgent services arrived of late.
+    arrivals: VecDeque<Ms>,
 }
 
 /// Room as the sizing sees it.
@@ -79,6 +81,7 @@
             renting: vec![],
             refused: HashMap::new(),
             usual: None,
+            arrivals: VecDeque::new(),
         }
     }
 }
@@ -160,8 +163,8 @@
     fn return_idle(&mut self, ctx: &Ctx) {
         let now = ctx.now.ms;
         // Room that urgent services could have, beyond what they use.
-        let mut spare = self.spare_rooms();
-        let wanted = ctx.set.tuning.spare_tasks;
+        let mut spare = self.spare_rooms(ctx, false);
+        let wanted = self.spare_wanted(ctx);
         let usual = self.fleet.usual.clone();
         let types = self.catalog.types.clone();
         for m in self.machines.values_mut() {
@@ -210,14 +213,48 @@
         }
     }
 
+    /// Rooms to keep for urgent tasks: a few, and the spread of what arrives during a boot.
+    fn spare_wanted(&self, ctx: &Ctx) -> f64 {
+        let Some(s) = &self.fleet.usual else {
+            return 0.0;
+        };
+        let fits = self.catalog.types.iter().filter(|t| per_machine(t, s) > 0);
+        let boot = fits.map(|t| t.boot_s).fold(0.0, f64::max);
+        let span = ctx.now.ms.saturating_sub(self.since).min(k::ARRIVALS_MS) as f64 / 1e3;
+        let rate = self.fleet.arrivals.len() as f64 / span.max(boot).max(1.0);
+        ctx.set.tuning.spare_tasks + (rate * boot).sqrt()
+    }
+
+    /// An urgent service arrived.
+    pub fn urgent_arrival(&mut self, now: Ms) {
+        self.fleet.arrivals.push_back(now);
+        while self
+            .fleet
+            .arrivals
+            .front()
+            .is_some_and(|at| now > at + k::ARRIVALS_MS)
+        {
+            self.fleet.arrivals.pop_front();
+        }
+    }
+
     /// How many usual urgent tasks could run beside those that do, pushing lesser work aside.
-    fn spare_rooms(&self) -> f64 {
+    fn spare_rooms(&self, ctx: &Ctx, coming: bool) -> f64 {
+        let now = ctx.now.ms;
         let Some(s) = &self.fleet.usual else {
             return 0.0;
         };
         let mut sum = 0.0;
         for m in self.machines.values() {
-            if m.spot || !matches!(m.life, Life::Up | Life::Booting) {
+            // Room on a silent machine, or on one whose boot is overdue, is no room.
+            let boot = self.kind(&m.kind).map_or(0.0, |t| t.boot_s);
+            let age = now.saturating_sub(m.born) as f64 / 1e3;
+            let counts = match m.life {
+                Life::Up => !m.quiet(now, ctx.set.report_s) && !m.far,
+                Life::Booting => coming && age < boot * k::SPARE_OVERDUE,
+                _ => false,
+            };
+            if m.spot || !counts {
                 continue;
             }
             let Some(t) = self.kind(&m.kind) else {
@@ -380,13 +417,13 @@
                 })
                 .map(f64::from)
                 .sum();
-            let have = self.spare_rooms() + renting;
+            let have = self.spare_rooms(ctx, true) + renting;
             let waiting: usize = wants
                 .iter()
                 .filter(|w| w.0 >= s.priority)
                 .map(|w| w.3)
                 .sum();
-            let short = waiting as f64 + ctx.set.tuning.spare_tasks - have;
+            let short = waiting as f64 + self.spare_wanted(ctx) - have;
             if short > 0.0 {
                 self.rent_for(now, &s, short.ceil() as usize, &mut bins, &mut hires, true);
             }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -18,7 +18,7 @@
 use stonegw_wire::frame::{self, Counts};
 use stonegw_wire::msg::{
     decode, encode, json_len, Catalog, Command, Condition, Entry, ExitCause, JobKind, Listing,
-    MachineType, Orders, Report, TaskReport, TaskState, Txn, TxnAnswer, Write,
+    MachineType, Orders, Priority, Report, TaskReport, TaskState, Txn, TxnAnswer, Write,
 };
 
 /// What the leader may use of its node.
@@ -122,7 +122,7 @@
     renewed_at: Ms,
     renew_sent: Ms,
     pub stage: Stage,
-    since: Ms,
+    pub since: Ms,
     watch_at: Ms,
     renew_at: Ms,
     renewing: bool,
@@ -432,7 +432,20 @@
             };
             match (j.record.end, &j.record.spec) {
                 (None, Some(spec)) => {
+                    log::debug!(
+                        "job {id}: {} x {:?} of {}",
+                        spec.tasks,
+                        spec.kind,
+                        spec.class
+                    );
                     let at = j.record.at;
+                    let new = !self.works.contains_key(&id) && self.stage == Stage::Active;
+                    if new && spec.kind == JobKind::Service && spec.priority >= Priority::High {
+                        let now = ctx.now.ms;
+                        for _ in 0..spec.tasks.min(k::HIRE_MAX) {
+                            self.urgent_arrival(now);
+                        }
+                    }
                     let work = self
                         .works
                         .entry(id.clone())
