--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -979,7 +979,6 @@
             .values()
             .filter(|m| {
                 m.do_open.is_none()
-                    && !m.do_lost
                     && m.addr.is_some()
                     && !m.quiet(now, ctx.set.report_s)
                     && !m.far
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -898,6 +898,11 @@
         if let Some(t) = w.tasks.get_mut(task) {
             t.until = self.now + run_ms;
         }
+        let told = self.jobs[&job].cancelled_at;
+        if told.is_some_and(|at| self.now > at + CANCEL_MS) {
+            self.broke(format!("ran_cancelled {task} starts on {id}"));
+        }
+        let w = self.workers.get_mut(id).expect("worker");
         if spec.zone.as_ref().is_some_and(|z| *z != w.zone) {
             let zone = w.zone.clone();
             self.broke(format!("wrong_place {task} in {zone}"));
