A predecessor's task is never sent again

Cause: the leader answers reports while it settles, and gave the run of every stored placement that a report did not show, also of one whose task had moved since: a record is rewritten late when the write budget is short. Now a stored placement only counts; the worker shows it, or its absence under our token proves it gone.

--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -762,7 +762,9 @@
     /// A task that we hold nothing of. It counts until it is gone.
     fn adopt(&mut self, ctx: &mut Ctx, id: &str, job: &str, index: u32, t: &TaskReport) {
         let now = ctx.now.ms;
-        log::warn!("{id} has {job}/{index}#{} unknown to us", t.attempt);
+        if t.state != TaskState::Exited {
+            log::warn!("{id} has {job}/{index}#{} unknown to us", t.attempt);
+        }
         let elsewhere = self.is_present(job, index);
         let spec = ctx
             .replica
@@ -923,10 +925,12 @@
             match p.phase {
                 Phase::New => {}
                 Phase::Ready | Phase::Sent => {
+                    // A predecessor's task is never sent again: the record may be older than
+                    // the task's move elsewhere. Either the worker shows it, or it is gone.
                     if let (Some(grace_s), Phase::Sent) = (p.stop, p.phase) {
                         // A `run` that may still arrive late must find its attempt used up:
                         // so it is given once more, and ended in the same breath.
-                        if open {
+                        if open && !p.inherited {
                             out.push(Command::Start {
                                 task: task.clone(),
                                 attempt,
@@ -938,7 +942,11 @@
                             attempt,
                             grace_s,
                         });
-                    } else if p.stop.is_none() && addr_known && (p.phase == Phase::Ready || beat) {
+                    } else if p.stop.is_none()
+                        && !p.inherited
+                        && addr_known
+                        && (p.phase == Phase::Ready || beat)
+                    {
                         p.set_phase(Phase::Sent);
                         if beat {
                             p.sent_seq = seq;
--- a/crates/testkit/src/outside.rs
+++ b/crates/testkit/src/outside.rs
@@ -268,6 +268,8 @@
     pub flying: Option<(u64, Ms)>,
     pub tasks: BTreeMap<String, Task>,
     pub images: BTreeSet<String>,
+    /// Seconds' notice it reports.
+    pub notice_s: Option<f64>,
 }
 
 pub fn addr_of(id: &str) -> String {
@@ -286,7 +288,7 @@
             session: self.session,
             seq: self.seq,
             token: self.token,
-            notice_s: None,
+            notice_s: self.notice_s,
             tasks: self
                 .tasks
                 .iter()
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | `nodes N` | controllers (3 if not said) |
 //! | `machines N ZONE` | machines up at the start |
+//! | `write-rps N` | changes a second that the state service takes |
 //! | `capacity N` | machines the cloud has at most |
 //! | `T submit JOB KIND N [key value]...` | keys: cpus, run, due, team, zone, priority, image |
 //! | `T cancel JOB` | its user asks to cancel |
@@ -14,6 +15,7 @@
 //! | `T cut MACHINE S` | the machine's network; what is sent to it arrives afterwards |
 //! | `T cut-zone ZONE NODE S` | the zone's machines and that node reach nobody else but the state service |
 //! | `T new-session MACHINE` | its worker kills and forgets everything |
+//! | `T notice MACHINE S` | its worker reports that much notice from now on |
 //! | `T keep-report MACHINE` / `T deliver-kept N` | a report now made arrives at a node then |
 //! | `T hold-do MACHINE S` | only direct commands to it are held back |
 //! | `T probe N METHOD PATH` | a stray request; its status is logged |
@@ -53,6 +55,7 @@
                     sim.add_machine(&l[2]);
                 }
             }
+            "write-rps" => sim.write_rps(l[1].parse().expect("rate")),
             "capacity" => sim.cloud.capacity = l[1].parse().expect("capacity"),
             "until" => until = ms(&l[1]),
             when => script.push((ms(when), l[1..].to_vec())),
@@ -182,6 +185,10 @@
                 .expect("machine")
                 .lose_session(now);
         }
+        "notice" => {
+            let w = sim.workers.get_mut(word(1)).expect("machine");
+            w.notice_s = Some(word(2).parse().expect("seconds"));
+        }
         "keep-report" => {
             let report = sim.workers.get_mut(word(1)).expect("machine").report();
             sim.kept.push_back(stonegw_wire::msg::encode(&report));
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -51,5 +51,6 @@
     old_session_report,
     run_waits_for_store,
     stale_node,
+    stale_record,
     node_ends_before_submission_is_stored,
 );
