--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -565,6 +565,15 @@
             .collect();
         let mut left = k::GUARANTEE_STEP;
         for (job, spec, n) in waiting {
+            // What the threshold holds back anyway must not push others aside for nothing.
+            let due = self.works.get(&job).and_then(|w| w.due_s(ctx.now.wall_ms));
+            let kind = self.machines.values().find(|m| m.life == Life::Up);
+            let kind = kind.map_or(String::new(), |m| m.kind.clone());
+            let runs = self.sched.runs(&spec, &kind);
+            let chance = Curve::at(0.0).chance(runs.cumulative(), due.unwrap_or(0.0));
+            if chance < self.sched.pruner.deferring {
+                continue;
+            }
             for _ in 0..n {
                 if left == 0 || !teams.within_guarantee(&spec) || !teams.allows(&spec) {
                     break;
