--- a/crates/stonegwd/src/main.rs
+++ b/crates/stonegwd/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::Parser;
 use rand::{Rng, SeedableRng};
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -35,7 +36,8 @@
         }
     };
     if args.check {
-        println!("{:#?}", loaded.core);
+        // Whoever reads may stop early; the check has passed all the same.
+        let _ = writeln!(std::io::stdout(), "{:#?}", loaded.core);
         return ExitCode::SUCCESS;
     }
     let env = env_logger::Env::new().filter_or("LOG_LEVEL", "info");
--- a/crates/stonegwd/src/settings.rs
+++ b/crates/stonegwd/src/settings.rs
@@ -155,7 +155,9 @@
 }
 
 fn platform(text: &str, tuning: Tuning) -> Result<Loaded, String> {
-    let mut p: Platform = toml::from_str(text).map_err(|e| one_line(e.message()))?;
+    let source = toml::Deserializer::parse(text).map_err(|e| one_line(e.message()))?;
+    let mut p: Platform = serde_path_to_error::deserialize(source)
+        .map_err(|e| format!("{}: {}", e.path(), one_line(e.inner().message())))?;
     if p.node.is_empty() || p.node.len() > 30 {
         return Err("node: must be 1 to 30 bytes".into());
     }
@@ -296,7 +298,16 @@
             ),
             ("txn_ops = 32", "txn_ops = 0", "deployment.state.txn_ops"),
             ("10.2.0.1:2379", "state:2379", "external.state"),
-            ("report_s = 3.0", "", "report_s"),
+            (
+                "report_s = 3.0",
+                "",
+                "deployment.workers: missing field `report_s`",
+            ),
+            (
+                "cancel_s = 54.0",
+                "cancel_s = true",
+                "deployment.workers.cancel_s",
+            ),
             ("node = \"b\"", "node = \"a\"", "known.node"),
         ] {
             let text = GOOD.replacen(from, to, 1);
