--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -52,5 +52,6 @@
     run_waits_for_store,
     stale_node,
     stale_record,
+    election_in_doubt,
     node_ends_before_submission_is_stored,
 );
