--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -205,6 +205,8 @@
 /// ms, the longest run time a histogram tells apart: a day.
 pub const MAX_RUN_MS: u64 = 86_400_000;
 
+/// How much a second of waiting for an image weighs against a second of lost run time.
+pub const FETCH_WEIGHT: f64 = 3.0;
 /// ms a job within its team's guarantee waits before other teams must return borrowed room.
 pub const GUARANTEE_WAIT_MS: u64 = 1_500;
 /// ms of run time that a borrowed task may lose to it at most.
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -53,6 +53,7 @@
     pub usual: Option<JobSpec>,
     /// When urgent services arrived of late.
     arrivals: VecDeque<Ms>,
+    departures: VecDeque<Ms>,
 }
 
 /// Room as the sizing sees it.
@@ -82,6 +83,7 @@
             refused: HashMap::new(),
             usual: None,
             arrivals: VecDeque::new(),
+            departures: VecDeque::new(),
         }
     }
 }
@@ -221,13 +223,26 @@
         let fits = self.catalog.types.iter().filter(|t| per_machine(t, s) > 0);
         let boot = fits.map(|t| t.boot_s).fold(0.0, f64::max);
         let span = ctx.now.ms.saturating_sub(self.since).min(k::ARRIVALS_MS) as f64 / 1e3;
-        let rate = self.fleet.arrivals.len() as f64 / span.max(boot).max(1.0);
-        ctx.set.tuning.spare_tasks + (rate * boot).sqrt()
+        let span = span.max(boot).max(1.0);
+        let (came, went) = (self.fleet.arrivals.len(), self.fleet.departures.len());
+        let rate = came as f64 / span;
+        // While more come than go, what comes during a boot needs room that is up already.
+        let growth = came.saturating_sub(went) as f64 / span;
+        ctx.set.tuning.spare_tasks + growth * boot + (rate * boot).sqrt()
+    }
+
+    /// An urgent service ended.
+    pub fn urgent_departure(&mut self, now: Ms) {
+        self.fleet.departures.push_back(now);
     }
 
     /// An urgent service arrived.
     pub fn urgent_arrival(&mut self, now: Ms) {
         self.fleet.arrivals.push_back(now);
+        let gone = |at: &Ms| now > at + k::ARRIVALS_MS;
+        while self.fleet.departures.front().is_some_and(gone) {
+            self.fleet.departures.pop_front();
+        }
         while self
             .fleet
             .arrivals
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -458,7 +458,15 @@
                     self.wake = true;
                 }
                 (None, None) => log::error!("job {id} has neither description nor end"),
-                (Some(end), _) => self.ended(&id, end),
+                (Some(end), _) => {
+                    let urgent = self.works.get(&id).is_some_and(|w| {
+                        w.spec.kind == JobKind::Service && w.spec.priority >= Priority::High
+                    });
+                    if urgent {
+                        self.urgent_departure(ctx.now.ms);
+                    }
+                    self.ended(&id, end);
+                }
             }
         }
     }
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -344,7 +344,9 @@
                 }
             }
             victims.sort_by_key(|(ran, _)| *ran);
-            let (mut cost, mut stops) = (0, vec![]);
+            // An urgent task's wait for its image weighs more than the run time lost.
+            let fetch = self.fetch_s(&m.id, &spec);
+            let (mut cost, mut stops) = ((fetch * k::FETCH_WEIGHT * 1e3) as u64, vec![]);
             let fits = |c: f64, g: f64, mem: f64| {
                 c + k::EPSILON >= spec.cpus
                     && g + k::EPSILON >= spec.gpus
@@ -373,7 +375,7 @@
         claim.2 += spec.memory_gb;
         if !stops.is_empty() {
             log::info!(
-                "{job} pushes {} tasks aside on {id}, {cost} ms lost",
+                "{job} pushes {} tasks aside on {id}, cost {cost} ms",
                 stops.len()
             );
         }
@@ -595,7 +597,10 @@
             return 0.0;
         }
         let rate = self.kind(&m.kind).map_or(1.0, |t| t.fetch_gb_per_s);
-        spec.image_gb / rate.max(0.01)
+        // Fetches at the same time share the rate.
+        let fetching = m.placements.iter().any(|p| p.phase == Phase::Fetching);
+        let share = if fetching { 2.0 } else { 1.0 };
+        share * spec.image_gb / rate.max(0.01)
     }
 
     fn best_offer(
