--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -132,7 +132,7 @@
 pub const FAR_GAP_MS: u64 = 1_000;
 /// Part of the machines that may fall silent at once before the leader takes it for its own
 /// trouble and deletes none.
-pub const SILENT_PART: f64 = 0.5;
+pub const SILENT_PART: f64 = 0.3;
 /// Part of the machines whose silence still counts as that of few.
 pub const SILENT_FEW_PART: f64 = 0.3;
 /// Fewer machines than this are never too many to be lost at once.
