A zone that falls silent is cut, not lost

Machines known from the store count too, and a zone of which seven in ten are silent is waited for three leases.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -135,6 +135,8 @@
 pub const SILENT_PART: f64 = 0.3;
 /// Part of the machines whose silence still counts as that of few.
 pub const SILENT_FEW_PART: f64 = 0.3;
+/// Part of a zone's machines whose silence means that the zone is cut off.
+pub const SILENT_ZONE_PART: f64 = 0.7;
 /// Fewer machines than this are never too many to be lost at once.
 pub const SILENT_FEW: usize = 3;
 
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -1080,11 +1080,12 @@
 
     fn watch_machines(&mut self, ctx: &Ctx) {
         let now = ctx.now.ms;
+        let lease_ms = (ctx.set.lease_s * 1e3) as u64;
         let lost_ms = (ctx.set.lease_s * k::LOST_LEASES * 1e3) as u64;
         let settled = self.stage == Stage::Active && self.confirmed(ctx);
         // Machines that a predecessor left with tasks count before they are heard.
         let heard = |m: &&Machine| {
-            (m.heard.is_some() || !m.placements.is_empty())
+            (m.heard.is_some() || m.stored != Stored::absent())
                 && matches!(m.life, Life::Booting | Life::Up | Life::Draining)
         };
         let all = self.machines.values().filter(heard).count();
@@ -1104,6 +1105,16 @@
         let period = (ctx.set.report_s * 1.25 * 1e3) as u64;
         let urgent_ms = (period + 2 * k::WORKER_TRY_MS + k::LOST_URGENT_MS).min(lost_ms);
         let few = quiet <= k::SILENT_FEW || (quiet as f64) < all as f64 * k::SILENT_FEW_PART;
+        // Nearly a whole zone that falls silent is most likely cut off, and comes back.
+        let mut zones: HashMap<String, (usize, usize)> = HashMap::new();
+        for m in self.machines.values().filter(heard) {
+            let z = zones.entry(m.zone.clone()).or_default();
+            z.0 += 1;
+            z.1 += usize::from(silent(&m));
+        }
+        zones.retain(|_, (all, quiet)| {
+            *quiet > k::SILENT_FEW && *quiet as f64 >= *all as f64 * k::SILENT_ZONE_PART
+        });
         let lost_ms = if many { lost_ms * 3 } else { lost_ms };
         let urgent = |m: &Machine| {
             m.placements.iter().any(|p| {
@@ -1117,7 +1128,9 @@
             if matches!(m.life, Life::Up | Life::Draining | Life::Booting) && settled && mattered {
                 let taken = m.notice.is_some_and(|t| now > t + 2_000);
                 let vanished = m.missing >= 2 || taken;
-                let lost_ms = if few && !m.far && urgent(m) {
+                let lost_ms = if zones.contains_key(&m.zone) {
+                    lost_ms.max(3 * lease_ms)
+                } else if few && !m.far && urgent(m) {
                     urgent_ms
                 } else {
                     lost_ms
