--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -25,4 +25,5 @@
 mutant team_limit quota ledger.rs 's/for p in machines\.values\(\)\.flat_map/for p in machines.values().filter(|m| m.heard.is_some()).flat_map/'
 mutant leader_ends_while_tasks_run ran_twice leader.rs 's/for p in e\.value\.tasks \{/for p in e.value.tasks.into_iter().take(0) {/'
 mutant stale_record ran_twice leader.rs 's/&& !p\.inherited\n\s+&& addr_known/\&\& addr_known/'
+mutant late_transaction ran_twice leader.rs 's/txn\.conditions\.push\(Condition \{\s+key: key\.clone\(\),\s+version,\s+\}\);/let _ = version;/'
 exit $bad
