--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -26,4 +26,5 @@
 mutant leader_ends_while_tasks_run ran_twice leader.rs 's/for p in e\.value\.tasks \{/for p in e.value.tasks.into_iter().take(0) {/'
 mutant stale_record ran_twice leader.rs 's/&& !p\.inherited\n\s+&& addr_known/\&\& addr_known/'
 mutant late_transaction ran_twice leader.rs 's/txn\.conditions\.push\(Condition \{\s+key: key\.clone\(\),\s+version,\s+\}\);/let _ = version;/'
+mutant late_report ran_twice leader.rs 's/if m\.under_token \{/if true {/'
 exit $bad
