One way to make a placement, a job record and a page; dead fields removed

Found by reading the whole change: three placement literals, two pairs of record literals, two copies of the page loop, and fields or constants nobody read (Work.started, Placement.placed_at, Peer.term, Tuning.held, MACHINE_TASKS). No behaviour changes.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -96,8 +96,6 @@
 /// Tasks whose completion one record holds as a bitmap: 8192 bits are 1.4 kB of base64, far
 /// below the smallest value limit.
 pub const DONE_CHUNK: u32 = 8_192;
-/// Placements stored on one machine at most; 32 bytes each keep the record within 8 KiB.
-pub const MACHINE_TASKS: usize = 180;
 
 // ---- Leadership -------------------------------------------------------------------------
 
@@ -199,7 +197,7 @@
 /// Quantile factors of the seed around an owner's estimate ("often wrong by half").
 pub const SEED_FACTORS: [f64; 7] = [0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0];
 /// How many seeds one observed run time outweighs.
-pub const OBSERVED_WEIGHT: u64 = 5;
+pub const OBSERVED_WEIGHT: u32 = 5;
 /// Runs that what an earlier leader observed of a job counts for at most.
 pub const INHERITED_RUNS: u32 = 5;
 /// Jobs' worth of trust in the owners' estimates against what ended jobs of the class showed.
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -324,35 +324,29 @@
             return;
         };
         let prefix = *prefix;
-        let (more, last) = if prefix == MACHINES {
-            match decode::<Listing<MachineRecord>>(&body) {
-                Ok(l) => {
-                    let last = l.items.last().map(|e| e.key.clone());
-                    let more = l.more;
-                    for e in l.items {
-                        self.load_machine(now, e);
-                    }
-                    (more, last)
+        let next = if prefix == MACHINES {
+            page::<MachineRecord>(&body).map(|(items, next)| {
+                for e in items {
+                    self.load_machine(now, e);
                 }
-                Err(e) => return log::error!("stored machines not understood: {e}"),
-            }
+                next
+            })
         } else {
-            match decode::<Listing<DoneRecord>>(&body) {
-                Ok(l) => {
-                    let last = l.items.last().map(|e| e.key.clone());
-                    let more = l.more;
-                    for e in l.items {
-                        self.load_done(ctx, e);
-                    }
-                    (more, last)
+            page::<DoneRecord>(&body).map(|(items, next)| {
+                for e in items {
+                    self.load_done(ctx, e);
                 }
-                Err(e) => return log::error!("stored results not understood: {e}"),
-            }
+                next
+            })
         };
-        self.load = match (more, last) {
-            (true, Some(last)) => Some((prefix, Some(last), false, now)),
-            _ if prefix == MACHINES => Some((DONE, None, false, now)),
-            _ => None,
+        let next = match next {
+            Ok(next) => next,
+            Err(e) => return log::error!("what is stored under {prefix} is not understood: {e}"),
+        };
+        self.load = match next {
+            Some(last) => Some((prefix, Some(last), false, now)),
+            None if prefix == MACHINES => Some((DONE, None, false, now)),
+            None => None,
         };
     }
 
@@ -368,21 +362,12 @@
                 continue;
             };
             m.placements.push(Placement {
-                job: job.into(),
-                index,
-                attempt: p.attempt,
-                phase: Phase::Sent,
                 cpus: p.cpus,
                 gpus: p.gpus,
                 memory: p.mem,
                 team: p.team,
                 inherited: true,
-                stop: None,
-                stop_sent: 0,
-                sent_seq: 0,
-                placed_at: now,
-                running_at: None,
-                clear_sent: false,
+                ..Placement::new(job, index, p.attempt, Phase::Sent)
             });
         }
         self.machines.insert(id.into(), m);
@@ -519,7 +504,7 @@
     // ---- Placing ----------------------------------------------------------------------------
 
     /// Puts a waiting task on a machine. Nothing goes out before it is stored.
-    pub fn place(&mut self, now: Ms, machine: &str, job: &str, index: u32) {
+    pub fn place(&mut self, machine: &str, job: &str, index: u32) {
         // The last guard against running twice, whatever went wrong before.
         if self.is_present(job, index) {
             log::error!("{job}/{index} may already be on a machine; not placed again");
@@ -532,25 +517,14 @@
             return;
         };
         w.take(index);
-        w.started = true;
         self.next_attempt += 1;
         log::debug!("place {job}/{index}#{} on {machine}", self.next_attempt);
         m.placements.push(Placement {
-            job: job.into(),
-            index,
-            attempt: self.next_attempt,
-            phase: Phase::New,
             cpus: w.spec.cpus,
             gpus: w.spec.gpus,
             memory: w.spec.memory_gb,
             team: w.spec.team.clone(),
-            inherited: false,
-            stop: None,
-            stop_sent: 0,
-            sent_seq: 0,
-            placed_at: now,
-            running_at: None,
-            clear_sent: false,
+            ..Placement::new(job, index, self.next_attempt, Phase::New)
         });
         m.stored.dirty = true;
         m.idle_since = None;
@@ -785,21 +759,14 @@
             return;
         };
         m.placements.push(Placement {
-            job: job.into(),
-            index,
-            attempt: t.attempt,
-            phase,
             cpus: spec.map_or(0.0, |s| s.cpus),
             gpus: spec.map_or(0.0, |s| s.gpus),
             memory: spec.map_or(0.0, |s| s.memory_gb),
             team: spec.map_or(String::new(), |s| s.team.clone()),
             inherited: true,
             stop: (!wanted).then_some(0.0),
-            stop_sent: 0,
-            sent_seq: 0,
-            placed_at: now,
             running_at: Some(now),
-            clear_sent: false,
+            ..Placement::new(job, index, t.attempt, phase)
         });
         m.stored.dirty = true;
         if let (true, Some(w)) = (phase_present(phase), self.works.get_mut(job)) {
@@ -1607,6 +1574,15 @@
     }
 }
 
+/// A page of a listing, and after which key the next begins if there is one.
+type Page<V> = (Vec<Entry<V>>, Option<String>);
+
+fn page<V: serde::de::DeserializeOwned>(body: &[u8]) -> Result<Page<V>, String> {
+    let l: Listing<V> = decode(body)?;
+    let last = l.items.last().map(|e| e.key.clone());
+    Ok((l.items, last.filter(|_| l.more)))
+}
+
 fn item_key(item: &Item) -> String {
     match item {
         Item::Machine { id, .. } | Item::MachineGone { id } => machine_key(id),
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -45,12 +45,31 @@
     /// The machine's highest sequence number when a `run` last went out in a report's answer:
     /// only a report with a higher one can prove that it did not arrive.
     pub sent_seq: u64,
-    pub placed_at: Ms,
     pub running_at: Option<Ms>,
     pub clear_sent: bool,
 }
 
 impl Placement {
+    /// A placement that takes nothing yet: the caller fills in what it knows.
+    pub fn new(job: &str, index: u32, attempt: u64, phase: Phase) -> Placement {
+        Placement {
+            job: job.into(),
+            index,
+            attempt,
+            phase,
+            cpus: 0.0,
+            gpus: 0.0,
+            memory: 0.0,
+            team: String::new(),
+            inherited: false,
+            stop: None,
+            stop_sent: 0,
+            sent_seq: 0,
+            running_at: None,
+            clear_sent: false,
+        }
+    }
+
     pub fn task(&self) -> String {
         task_name(&self.job, self.index)
     }
@@ -326,7 +345,6 @@
     pub failures: u32,
     pub retry_at: Ms,
     pub missed: bool,
-    pub started: bool,
 }
 
 impl Work {
@@ -344,7 +362,6 @@
             failures: 0,
             retry_at: 0,
             missed: false,
-            started: false,
         }
     }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -132,7 +132,6 @@
 struct Peer {
     up: bool,
     heard: Ms,
-    term: u64,
     state_ok: bool,
 }
 
@@ -932,21 +931,12 @@
         for p in std::mem::take(&mut self.to_store) {
             let (job, record, version) = match &p.ask {
                 Ask::Submit(spec) => {
-                    let record = JobRecord {
-                        tasks: spec.tasks,
-                        at: self.now.wall_ms,
-                        spec: Some((**spec).clone()),
-                        end: None,
-                        seen: None,
-                    };
+                    let record = JobRecord::submitted(spec, self.now.wall_ms);
                     (spec.id.clone(), record, 0)
                 }
                 Ask::Cancel(job) => match self.replica.jobs.get(job) {
                     Some(j) if j.record.end.is_none() => {
-                        let record = JobRecord {
-                            end: Some(End::Cancelled),
-                            ..j.record.clone()
-                        };
+                        let record = j.record.cancelled();
                         (job.clone(), record, j.version)
                     }
                     // Ended meanwhile: the barrier answers it.
@@ -1003,13 +993,7 @@
                 for p in batch {
                     match &p.ask {
                         Ask::Submit(spec) => {
-                            let record = JobRecord {
-                                tasks: spec.tasks,
-                                at: self.now.wall_ms,
-                                spec: Some((**spec).clone()),
-                                end: None,
-                                seen: None,
-                            };
+                            let record = JobRecord::submitted(spec, self.now.wall_ms);
                             let id = spec.id.clone();
                             self.replica.put_job(&id, record, answer.revision);
                             let body = status(&id, JobPhase::Queued);
@@ -1017,10 +1001,7 @@
                         }
                         Ask::Cancel(job) => {
                             if let Some(j) = self.replica.jobs.get(job) {
-                                let record = JobRecord {
-                                    end: Some(End::Cancelled),
-                                    ..j.record.clone()
-                                };
+                                let record = j.record.cancelled();
                                 self.replica.put_job(job, record, answer.revision);
                             }
                             let body = status(job, JobPhase::Cancelled);
@@ -1337,7 +1318,6 @@
                 match from {
                     Link::Out(i) => {
                         self.peers[i].heard = self.now.ms;
-                        self.peers[i].term = h.term.get();
                         self.peers[i].state_ok = h.state_ok != 0;
                     }
                     // Every hello is answered, so that both ends of a link hear the other.
--- a/crates/control/src/records.rs
+++ b/crates/control/src/records.rs
@@ -52,6 +52,25 @@
     pub seen: Option<Seen>,
 }
 
+impl JobRecord {
+    pub fn submitted(spec: &JobSpec, at: u64) -> JobRecord {
+        JobRecord {
+            tasks: spec.tasks,
+            at,
+            spec: Some(spec.clone()),
+            end: None,
+            seen: None,
+        }
+    }
+
+    pub fn cancelled(&self) -> JobRecord {
+        JobRecord {
+            end: Some(End::Cancelled),
+            ..self.clone()
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Seen {
     pub class: String,
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -207,7 +207,7 @@
                 return;
             }
             self.machines.get_mut(id).expect("seen").held.remove(0);
-            self.place(ctx.now.ms, id, &job, index);
+            self.place(id, &job, index);
         }
     }
 
@@ -272,7 +272,7 @@
                 match fit {
                     Some(id) => {
                         teams.take(&spec);
-                        self.place(now, &id, &job, index);
+                        self.place(&id, &job, index);
                     }
                     None => {
                         if urgent {
@@ -527,7 +527,7 @@
             teams.take(&spec);
             let job = c.job.clone();
             if start.curve.is_none() {
-                self.place(now, &id, &job, index);
+                self.place(&id, &job, index);
             } else {
                 if let Some(w) = self.works.get_mut(&job) {
                     w.take(index);
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -23,8 +23,6 @@
     pub leader_ttl_ms: u64,
     /// ms between mappings.
     pub map_ms: u64,
-    /// Tasks held per machine.
-    pub held: usize,
 }
 
 impl Default for Tuning {
@@ -35,7 +33,6 @@
             slack_use: k::SLACK_USE,
             leader_ttl_ms: k::LEADER_TTL_MS,
             map_ms: k::MAP_MS,
-            held: k::HELD,
         }
     }
 }
--- a/crates/sched/src/runtimes.rs
+++ b/crates/sched/src/runtimes.rs
@@ -35,7 +35,7 @@
 
     pub fn record(&mut self, run_s: f64) {
         self.histogram
-            .saturating_record_n(ms(run_s), OBSERVED_WEIGHT as u32 as u64 as _);
+            .saturating_record_n(ms(run_s), OBSERVED_WEIGHT);
         self.observed += 1;
         self.fresh = false;
     }
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -17,7 +17,7 @@
     if grep -q "BROKEN $2" <<<"$out"; then echo "ok     $1 breaks $2 without its guard"
     else echo "ALIVE  $1 does not break $2"; tail -5 <<<"$out"; bad=1; fi
 }
-mutant run_waits_for_store ran_twice leader.rs 's/phase: Phase::New,/phase: Phase::Ready,/'
+mutant run_waits_for_store ran_twice leader.rs 's/self\.next_attempt, Phase::New/self.next_attempt, Phase::Ready/'
 mutant old_session_report ran_twice leader.rs 's/if unsent \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if unsent/'
 mutant late_direct_command ran_twice leader.rs 's/if settled && beat && !open/if settled \&\& beat/'
 mutant cancel_races_a_start ran_cancelled leader.rs 's/if open && !p\.inherited \{/if false {/; s/settled && beat && !open/settled \&\& beat/; s/stop\.is_some\(\) && beat && !open/stop.is_some() \&\& beat/'
