--- /dev/null
+++ b/crates/control/src/leader/command.rs
@@ -0,0 +1,168 @@
+//! Commands, in answers to reports and directly.
+use super::*;
+
+impl Leader {
+    /// Commands due for a machine. `beat`: they go in the answer to its newest report.
+    pub(super) fn orders(&mut self, ctx: &Ctx, id: &str, beat: bool) -> Vec<Command> {
+        let now = ctx.now.ms;
+        let Some(m) = self.machines.get_mut(id) else {
+            return vec![];
+        };
+        let open = m.do_open.is_some() || m.do_lost;
+        let (seq, addr_known) = (m.seq, m.life != Life::Deleting);
+        let mut out = vec![];
+        for p in &mut m.placements {
+            let (task, attempt) = (p.task(), p.attempt);
+            match p.phase {
+                Phase::New => {}
+                Phase::Ready | Phase::Sent => {
+                    // A predecessor's task is never sent again: the record may be older than
+                    // the task's move elsewhere. Either the worker shows it, or it is gone.
+                    if let (Some(grace_s), Phase::Sent) = (p.stop, p.phase) {
+                        // A `run` that may still arrive late must find its attempt used up:
+                        // so it is given once more, and ended in the same breath.
+                        if open && !p.inherited {
+                            out.push(Command::Start {
+                                task: task.clone(),
+                                attempt,
+                            });
+                            p.sent_seq = seq;
+                        }
+                        out.push(Command::Stop {
+                            task,
+                            attempt,
+                            grace_s,
+                        });
+                    } else if p.stop.is_none()
+                        && !p.inherited
+                        && addr_known
+                        && (p.phase == Phase::Ready || beat)
+                    {
+                        p.set_phase(Phase::Sent);
+                        if beat {
+                            p.sent_seq = seq;
+                        }
+                        out.push(Command::Start { task, attempt });
+                    }
+                }
+                Phase::Fetching | Phase::Running | Phase::Saving => {
+                    if let Some(grace_s) = p.stop {
+                        if beat || now >= p.stop_sent + 1_000 {
+                            p.stop_sent = now;
+                            out.push(Command::Stop {
+                                task,
+                                attempt,
+                                grace_s,
+                            });
+                        }
+                    }
+                }
+                // Never while a direct `run` may still arrive: after `clear` it would start
+                // the task anew.
+                Phase::Exited { settled, .. } => {
+                    if settled && beat && !open {
+                        p.clear_sent = true;
+                        out.push(Command::Forget { task, attempt });
+                    }
+                }
+            }
+        }
+        out
+    }
+
+    /// Direct commands, where they are faster than the next report.
+    pub(super) fn command(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.ms;
+        let ids: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| {
+                m.do_open.is_none()
+                    && m.addr.is_some()
+                    && !m.quiet(now, ctx.set.report_s)
+                    && !m.far
+                    && m.life != Life::Gone
+                    && m.placements.iter().any(|p| match p.phase {
+                        Phase::Ready => p.stop.is_none(),
+                        Phase::Fetching | Phase::Running => {
+                            p.stop.is_some() && now >= p.stop_sent + 1_000
+                        }
+                        _ => false,
+                    })
+            })
+            .map(|m| m.id.clone())
+            .collect();
+        for id in ids {
+            let commands = self.orders(ctx, &id, false);
+            let Some(m) = self.machines.get_mut(&id) else {
+                continue;
+            };
+            if commands.is_empty() {
+                continue;
+            }
+            let runs: Vec<u64> = commands
+                .iter()
+                .filter_map(|c| match c {
+                    Command::Start { attempt, .. } => Some(*attempt),
+                    _ => None,
+                })
+                .collect();
+            let orders = Orders {
+                token: self.term,
+                session: Some(m.session),
+                commands,
+            };
+            let session = m.session;
+            let target = Target::Worker(m.addr.clone().unwrap_or_default());
+            let call = Call::Do {
+                machine: id.clone(),
+                session,
+                runs,
+            };
+            let wait = k::DO_TIMEOUT_MS;
+            let call = ctx.call(call, target, "POST", "/do".into(), encode(&orders), wait);
+            m.do_open = Some(call);
+        }
+    }
+
+    pub(super) fn done_do(
+        &mut self,
+        ctx: &mut Ctx,
+        id: &str,
+        session: u64,
+        runs: Vec<u64>,
+        r: CallResult,
+    ) {
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
+        m.do_open = None;
+        match r {
+            Ok((200 | 409, body)) => match decode::<Report>(&body) {
+                Ok(report) if report.machine == id => {
+                    if report.token > self.term {
+                        self.deposed = true;
+                        return;
+                    }
+                    self.hear(ctx, report, false);
+                    self.take_exits(ctx);
+                    return;
+                }
+                _ => log::warn!("answer of {id} not understood"),
+            },
+            Err(CallError::NotSent) => {
+                for p in m.placements.iter_mut() {
+                    if runs.contains(&p.attempt) && p.phase == Phase::Sent && p.sent_seq == 0 {
+                        p.set_phase(Phase::Ready);
+                    }
+                }
+                return;
+            }
+            other => log::debug!("direct command to {id}: {}", describe(&other)),
+        }
+        // It may still arrive, minutes late, for as long as this session lasts.
+        if m.session == session && !runs.is_empty() {
+            m.do_lost = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/leader/hear.rs
@@ -0,0 +1,304 @@
+//! Reports: what a machine shows against what we hold.
+use super::*;
+
+impl Leader {
+    /// A worker's report; the answer renews its lease. `None`: we do not lead any more.
+    pub fn beat(&mut self, ctx: &mut Ctx, report: Report) -> Option<Orders> {
+        if report.token > self.term || self.deposed {
+            self.deposed = true;
+            return None;
+        }
+        let mut commands = vec![];
+        if self.stage != Stage::Loading {
+            let id = report.machine.clone();
+            let newer = self.hear(ctx, report, true);
+            if let Some(m) = self.machines.get_mut(&id).filter(|_| newer) {
+                m.far = false;
+            }
+            self.take_exits(ctx);
+            if newer && self.stage == Stage::Active {
+                self.promote(ctx, &id);
+            }
+            self.flush(ctx);
+            if newer {
+                commands = self.orders(ctx, &id, true);
+            }
+            self.command(ctx);
+        }
+        Some(Orders {
+            token: self.term,
+            session: None,
+            commands,
+        })
+    }
+
+    /// Takes in a report. `beat`: it came as a report, not as the answer to a direct command.
+    pub(super) fn hear(&mut self, ctx: &mut Ctx, report: Report, beat: bool) -> bool {
+        let now = ctx.now.ms;
+        let id = report.machine.clone();
+        if self.deleted.contains_key(&id) {
+            return false;
+        }
+        let m = self.machines.entry(id.clone()).or_insert_with(|| {
+            log::info!("machine {id} reports for the first time");
+            Machine::new(&id, &report.machine_type, &report.zone, report.spot, now)
+        });
+        if (report.session, report.seq) <= (m.session, m.seq) {
+            return false;
+        }
+        let new_session = report.session > m.session && m.heard.is_some();
+        // What an earlier leader placed may have been sent in either session, unless the worker
+        // had already seen our token in the old one.
+        let inherited_too = m.under_token;
+        let first = m.heard.is_none();
+        m.count_use(now);
+        m.session = report.session;
+        m.seq = report.seq;
+        m.heard = Some(now);
+        m.missing = 0;
+        m.addr = Some(report.addr.clone());
+        m.kind = report.machine_type.clone();
+        m.zone = report.zone.clone();
+        m.spot = report.spot;
+        m.under_token = report.token == self.term;
+        m.notice = report
+            .notice_s
+            .filter(|s| s.is_finite())
+            .map(|s| now + (s.max(0.0) * 1e3) as u64);
+        if first {
+            self.wake = true;
+            if m.life == Life::Booting {
+                m.set_life(Life::Up);
+            }
+        }
+        if m.notice.is_some() && m.life == Life::Up {
+            m.set_life(Life::Draining);
+        }
+        if new_session {
+            // A new session: the worker killed and forgot everything, and nothing sent under
+            // the old one can start any more.
+            log::warn!("machine {id} began session {}", report.session);
+            m.do_lost = false;
+            m.images.clear();
+            self.all_gone(&id, Gone::Session { inherited_too });
+        }
+        self.compare(ctx, &id, &report.tasks, beat);
+        true
+    }
+
+    /// Compares a machine's newest report with what we hold.
+    pub(super) fn compare(&mut self, ctx: &mut Ctx, id: &str, tasks: &[TaskReport], beat: bool) {
+        let now = ctx.now.ms;
+        let mut adopt = vec![];
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
+        let mut seen = vec![false; m.placements.len()];
+        for t in tasks {
+            let Some((job, index)) = parse_task(&t.task) else {
+                log::warn!("{id} reports a task named {:?}", t.task);
+                continue;
+            };
+            let at = m
+                .placements
+                .iter()
+                .position(|p| p.attempt == t.attempt && p.index == index && p.job == job);
+            match at {
+                Some(at) => {
+                    seen[at] = true;
+                    let p = &mut m.placements[at];
+                    let phase = phase_of(t);
+                    if matches!(p.phase, Phase::Exited { .. }) {
+                        continue;
+                    }
+                    if phase == Phase::Running && p.running_at.is_none() {
+                        // An inherited task has run for an unknown while.
+                        p.running_at = Some(now);
+                    }
+                    p.set_phase(phase);
+                }
+                None => adopt.push((job.to_owned(), index, t.clone())),
+            }
+        }
+        // Absence proves something only in a report made under our token: what an earlier
+        // leader sent can then no longer start.
+        let mut gone = vec![];
+        if m.under_token {
+            let (open, seq) = (m.do_open.is_some() || m.do_lost, m.seq);
+            let mut at = 0;
+            m.placements.retain(|p| {
+                let here = seen[at];
+                at += 1;
+                if here {
+                    return true;
+                }
+                let out = match p.phase {
+                    Phase::New | Phase::Ready => false,
+                    Phase::Exited { settled, .. } => settled && p.clear_sent && beat,
+                    _ if p.inherited => true,
+                    // A `run` of ours may be on its way: by a direct command without answer,
+                    // or in the answer to a report that is no older than this one.
+                    Phase::Sent => p.stop.is_some() && beat && !open && seq > p.sent_seq,
+                    _ => beat && !open && seq > p.sent_seq,
+                };
+                // What exited was taken back when it did.
+                if out && p.present() {
+                    gone.push((p.job.clone(), p.index));
+                }
+                !out
+            });
+        }
+        if !gone.is_empty() {
+            m.stored.stale = true;
+        }
+        for (job, index) in gone {
+            self.back(&job, index);
+        }
+        for (job, index, t) in adopt {
+            self.adopt(ctx, id, &job, index, &t);
+        }
+    }
+
+    /// A task that we hold nothing of. It counts until it is gone.
+    pub(super) fn adopt(&mut self, ctx: &mut Ctx, id: &str, job: &str, index: u32, t: &TaskReport) {
+        let now = ctx.now.ms;
+        if t.state != TaskState::Exited {
+            log::warn!("{id} has {job}/{index}#{} unknown to us", t.attempt);
+        }
+        let elsewhere = self.is_present(job, index);
+        let spec = ctx
+            .replica
+            .jobs
+            .get(job)
+            .and_then(|j| j.record.spec.as_ref());
+        let phase = phase_of(t);
+        let wanted = !elsewhere && self.works.contains_key(job);
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
+        m.placements.push(Placement {
+            cpus: spec.map_or(0.0, |s| s.cpus),
+            gpus: spec.map_or(0.0, |s| s.gpus),
+            memory: spec.map_or(0.0, |s| s.memory_gb),
+            team: spec.map_or(String::new(), |s| s.team.clone()),
+            inherited: true,
+            stop: (!wanted).then_some(0.0),
+            running_at: Some(now),
+            ..Placement::new(job, index, t.attempt, phase)
+        });
+        m.stored.dirty = true;
+        if let (true, Some(w)) = (phase_present(phase), self.works.get_mut(job)) {
+            w.take(index);
+            for m in self.machines.values_mut() {
+                m.held.retain(|h| (h.0.as_str(), h.1) != (job, index));
+            }
+        }
+    }
+
+    /// What exited tasks mean for their jobs.
+    pub(super) fn take_exits(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.ms;
+        let mut exits = vec![];
+        for m in self.machines.values_mut() {
+            for p in &mut m.placements {
+                if let Phase::Exited { cause, settled } = &mut p.phase {
+                    if *settled || (*cause == ExitCause::Done && p.clear_sent) {
+                        continue;
+                    }
+                    if *cause == ExitCause::Done {
+                        // Settled once stored; `clear_sent` is set then.
+                        let work = self.works.get(&p.job);
+                        if let Some(w) = work.filter(|w| w.done.get(p.index)) {
+                            // Known before; if that is stored, nothing else will settle it.
+                            let chunk = w.chunks.get(&(p.index / k::DONE_CHUNK));
+                            *settled = chunk.is_some_and(|c| {
+                                !c.stored.dirty && !c.stored.writing && c.stored.version.is_some()
+                            });
+                            continue;
+                        }
+                    } else {
+                        *settled = true;
+                    }
+                    let run_s = p.running_at.map(|t| now.saturating_sub(t) as f64 / 1e3);
+                    let run_s = run_s.filter(|_| !p.inherited);
+                    exits.push((
+                        m.id.clone(),
+                        m.kind.clone(),
+                        p.job.clone(),
+                        p.index,
+                        *cause,
+                        run_s,
+                    ));
+                }
+            }
+        }
+        for (id, kind, job, index, cause, run_s) in exits {
+            self.wake = true;
+            let Some(w) = self.works.get_mut(&job) else {
+                // Ended: nothing more follows.
+                self.settle(&job, index);
+                continue;
+            };
+            match cause {
+                ExitCause::Done => {
+                    if w.done.set(index) {
+                        w.done_count += 1;
+                        w.take(index);
+                        w.dropped.remove(&index);
+                        let chunk = w.chunks.entry(index / k::DONE_CHUNK).or_insert(Chunk {
+                            stored: Stored::absent(),
+                        });
+                        chunk.stored.dirty = true;
+                        if let Some(s) = run_s {
+                            let spec = w.spec.clone();
+                            self.sched.record(&spec, &kind, s);
+                        }
+                    }
+                    for m in self.machines.values_mut() {
+                        m.held.retain(|h| (h.0.as_str(), h.1) != (&job, index));
+                    }
+                }
+                _ => {
+                    log::info!("{job}/{index} on {id}: {cause:?}");
+                    let wait = |n: u32| (k::START_RETRY_MS << n.min(10)).min(k::START_RETRY_MAX_MS);
+                    match cause {
+                        ExitCause::Error => {
+                            w.failures += 1;
+                            w.bad.insert(id.clone());
+                            w.retry_at = now + wait(w.failures);
+                            if let Some(m) = self.machines.get_mut(&id) {
+                                m.errors.insert(job.clone());
+                                if m.errors.len() >= k::FAULTY_ERRORS && m.life == Life::Up {
+                                    m.set_life(Life::Draining);
+                                }
+                            }
+                        }
+                        ExitCause::Unknown | ExitCause::Busy => {
+                            w.failures += 1;
+                            w.retry_at = now + wait(w.failures);
+                        }
+                        ExitCause::NoRoom => {
+                            if let Some(m) = self.machines.get_mut(&id) {
+                                m.full_until = now + k::START_RETRY_MS * 2;
+                            }
+                        }
+                        _ => {}
+                    }
+                    self.back(&job, index);
+                }
+            }
+        }
+    }
+
+    pub(super) fn settle(&mut self, job: &str, index: u32) {
+        for m in self.machines.values_mut() {
+            for p in &mut m.placements {
+                if p.job == job && p.index == index {
+                    if let Phase::Exited { settled, .. } = &mut p.phase {
+                        *settled = true;
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/leader/mod.rs
@@ -0,0 +1,366 @@
+//! The leader: loads what its predecessors stored, hears the workers, writes ahead, commands.
+//!
+//! The two rules everything here serves: a `run` goes out only after its placement is stored
+//! under our term, and a task moves only when it is proven gone.
+use crate::api::{CallError, CallResult, Ms, Now, Target};
+use crate::fleet::{Fleet, FleetCall};
+use crate::ledger::{Chunk, Life, Machine, Phase, Placement, Stored, Work};
+use crate::node::{describe, Out};
+use crate::records::{
+    self, done_key, job_key, machine_key, parse_task, DoneRecord, End, JobRecord, MachineRecord,
+    Value, DONE, LEADER, MACHINES,
+};
+use crate::replica::Replica;
+use crate::schedule::Scheduler;
+use crate::settings::{Bucket, Settings};
+use std::collections::{BTreeMap, HashMap};
+use stonegw_constants as k;
+use stonegw_wire::frame::{self, Counts};
+use stonegw_wire::msg::{
+    decode, encode, json_len, Catalog, Command, Condition, Entry, ExitCause, JobKind, Listing,
+    MachineType, Orders, Priority, Report, TaskReport, TaskState, Txn, TxnAnswer, Write,
+};
+
+mod command;
+mod hear;
+mod jobs;
+mod load;
+mod place;
+mod silence;
+mod store;
+
+/// What the leader may use of its node.
+pub struct Ctx<'a> {
+    pub now: Now,
+    pub set: &'a Settings,
+    /// No other node is heard, so another may hear the machines that we don't.
+    pub may_resign: bool,
+    pub replica: &'a mut Replica,
+    pub reads: &'a mut Bucket,
+    pub writes: &'a mut Bucket,
+    pub(crate) out: &'a mut Out,
+    pub calls: &'a mut Vec<(u64, Call)>,
+}
+
+impl Ctx<'_> {
+    pub fn call(
+        &mut self,
+        what: Call,
+        target: Target,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    ) -> u64 {
+        let id = self.out.call(target, method, path, body, timeout_ms);
+        self.calls.push((id, what));
+        id
+    }
+}
+
+/// What of the store one transaction changes, to be marked when its answer comes.
+#[derive(Clone, Debug)]
+pub enum Item {
+    /// The attempts the record held.
+    Machine {
+        id: String,
+        attempts: Vec<u64>,
+    },
+    MachineGone {
+        id: String,
+    },
+    Done {
+        job: String,
+        chunk: u32,
+        exits: Vec<u64>,
+    },
+    End {
+        job: String,
+        exits: Vec<u64>,
+    },
+    DropDone {
+        key: String,
+    },
+}
+
+#[derive(Debug)]
+pub enum Call {
+    Renew,
+    Load {
+        prefix: &'static str,
+    },
+    Flush {
+        items: Vec<Item>,
+    },
+    Reread {
+        item: Item,
+    },
+    Do {
+        machine: String,
+        session: u64,
+        runs: Vec<u64>,
+    },
+    Fleet(FleetCall),
+}
+
+impl Call {
+    pub fn is_state(&self) -> bool {
+        !matches!(self, Call::Do { .. } | Call::Fleet(_))
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Stage {
+    /// Reading what is stored.
+    Loading,
+    /// Hearing the workers for one report period.
+    Settling {
+        until: Ms,
+    },
+    Active,
+}
+
+pub struct Leader {
+    pub term: u64,
+    pub lease: u64,
+    pub deposed: bool,
+    /// Deposed of its own will: the lease is to be ended.
+    pub resigned: bool,
+    /// When the last renewal that succeeded was sent.
+    renewed_at: Ms,
+    renew_sent: Ms,
+    pub stage: Stage,
+    pub since: Ms,
+    watch_at: Ms,
+    renew_at: Ms,
+    renewing: bool,
+    load: Option<(&'static str, Option<String>, bool, Ms)>,
+    next_attempt: u64,
+    pub catalog: Catalog,
+    pub machines: BTreeMap<String, Machine>,
+    pub works: BTreeMap<String, Work>,
+    /// Machines that were deleted, with the time: late lists and reports still name them.
+    pub deleted: HashMap<String, Ms>,
+    flushing: bool,
+    flush_at: Ms,
+    /// `d/` records of jobs that have ended.
+    drops: Vec<(String, Stored)>,
+    /// `d/` records of jobs that our copy does not show yet.
+    early: Vec<Entry<DoneRecord>>,
+    rereading: bool,
+    pub sched: Scheduler,
+    pub fleet: Fleet,
+    /// Something changed that could let work start.
+    pub wake: bool,
+}
+
+/// Why everything on a machine is gone.
+#[derive(Clone, Copy)]
+enum Gone {
+    /// The cloud has deleted it.
+    Machine,
+    /// Its worker began a new session.
+    Session { inherited_too: bool },
+}
+
+impl Leader {
+    pub fn new(term: u64, lease: u64, now: Ms, catalog: Catalog) -> Leader {
+        Leader {
+            term,
+            lease,
+            deposed: false,
+            resigned: false,
+            renewed_at: now,
+            renew_sent: now,
+            stage: Stage::Loading,
+            since: now,
+            watch_at: 0,
+            renew_at: now + k::RENEW_MS,
+            renewing: false,
+            load: Some((MACHINES, None, false, now)),
+            next_attempt: term * k::ATTEMPTS_PER_TERM,
+            catalog,
+            machines: BTreeMap::new(),
+            works: BTreeMap::new(),
+            deleted: HashMap::new(),
+            flushing: false,
+            flush_at: 0,
+            drops: vec![],
+            early: vec![],
+            rereading: false,
+            sched: Scheduler::default(),
+            fleet: Fleet::new(term, now),
+            wake: true,
+        }
+    }
+
+    fn set_stage(&mut self, to: Stage) {
+        log::info!("term {}: {:?} -> {:?}", self.term, self.stage, to);
+        self.stage = to;
+    }
+
+    pub fn kind(&self, name: &str) -> Option<&MachineType> {
+        self.catalog.types.iter().find(|t| t.name == name)
+    }
+
+    pub fn advance(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.ms;
+        if now >= self.renew_at && !self.renewing {
+            self.renewing = true;
+            self.renew_sent = now;
+            self.renew_at = now + k::RENEW_MS;
+            ctx.reads.force(now, 1.0);
+            let path = format!("/grants/{}/touch", self.lease);
+            let wait = k::STATE_TIMEOUT_MS;
+            ctx.call(Call::Renew, Target::State, "POST", path, vec![], wait);
+        }
+        match self.stage {
+            Stage::Loading => self.load(ctx),
+            Stage::Settling { until } if now >= until => {
+                self.set_stage(Stage::Active);
+                self.wake = true;
+                // What was late before our time tells nothing of the present load.
+                for w in self.works.values_mut() {
+                    w.missed = w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0);
+                }
+            }
+            Stage::Settling { .. } | Stage::Active => {}
+        }
+        if self.stage == Stage::Loading {
+            return;
+        }
+        self.take_changes(ctx);
+        self.take_far(ctx);
+        if now >= self.watch_at {
+            self.watch_at = now + k::WATCH_MACHINES_MS;
+            self.watch_machines(ctx);
+        }
+        if self.stage == Stage::Active {
+            self.schedule(ctx);
+            // A request to the cloud can be carried out late, after another leader has made
+            // its own plans: so none without a lease that surely holds.
+            if self.confirmed(ctx) {
+                self.run_fleet(ctx);
+            }
+        }
+        self.flush(ctx);
+        self.command(ctx);
+    }
+
+    /// Our lease surely holds: no other can lead yet.
+    pub fn confirmed(&self, ctx: &Ctx) -> bool {
+        ctx.now.ms < self.renewed_at + ctx.set.tuning.leader_ttl_ms
+    }
+
+    /// Reports that came through the state service.
+    fn take_far(&mut self, ctx: &mut Ctx) {
+        for report in std::mem::take(&mut ctx.replica.far) {
+            if report.token > self.term {
+                self.deposed = true;
+                return;
+            }
+            // Without our token it may be as old as the record; nothing follows from it.
+            if report.token < self.term {
+                continue;
+            }
+            let id = report.machine.clone();
+            if self.hear(ctx, report, false) {
+                if let Some(m) = self.machines.get_mut(&id) {
+                    m.far = true;
+                }
+                self.take_exits(ctx);
+            }
+        }
+    }
+
+    pub fn call_done(&mut self, ctx: &mut Ctx, call: Call, result: CallResult) {
+        match call {
+            Call::Renew => {
+                self.renewing = false;
+                if let Ok((200, _)) = result {
+                    self.renewed_at = self.renew_sent;
+                }
+                if let Ok((404, _)) = result {
+                    log::warn!("term {}: the lease is gone", self.term);
+                    self.deposed = true;
+                }
+            }
+            Call::Load { .. } => self.loaded(ctx, result),
+            Call::Flush { items } => self.flushed(ctx, items, result),
+            Call::Reread { item } => self.reread_done(ctx, item, result),
+            Call::Do {
+                machine,
+                session,
+                runs,
+            } => {
+                self.done_do(ctx, &machine, session, runs, result);
+            }
+            Call::Fleet(c) => self.fleet_done(ctx, c, result),
+        }
+    }
+}
+
+/// A page of a listing, and after which key the next begins if there is one.
+type Page<V> = (Vec<Entry<V>>, Option<String>);
+
+fn page<V: serde::de::DeserializeOwned>(body: &[u8]) -> Result<Page<V>, String> {
+    let l: Listing<V> = decode(body)?;
+    let last = l.items.last().map(|e| e.key.clone());
+    Ok((l.items, last.filter(|_| l.more)))
+}
+
+fn item_key(item: &Item) -> String {
+    match item {
+        Item::Machine { id, .. } | Item::MachineGone { id } => machine_key(id),
+        Item::Done { job, chunk, .. } => done_key(job, *chunk),
+        Item::End { job, .. } => records::job_key(job),
+        Item::DropDone { key } => key.clone(),
+    }
+}
+
+fn phase_of(t: &TaskReport) -> Phase {
+    match t.state {
+        TaskState::Fetching | TaskState::Other => Phase::Fetching,
+        TaskState::Running => Phase::Running,
+        TaskState::Saving => Phase::Saving,
+        TaskState::Exited => Phase::Exited {
+            cause: t.why.unwrap_or(ExitCause::Other),
+            settled: false,
+        },
+    }
+}
+
+fn phase_present(phase: Phase) -> bool {
+    !matches!(phase, Phase::Exited { .. })
+}
+
+/// Which tasks a job may have where, given its others.
+pub fn zone_allows(machines: &BTreeMap<String, Machine>, work: &Work, zone: &str) -> bool {
+    let spec = &work.spec;
+    if spec.zone.as_ref().is_some_and(|z| z != zone) {
+        return false;
+    }
+    if !spec.one_zone && !spec.spread {
+        return true;
+    }
+    let (mut here, mut elsewhere) = (0, 0);
+    for m in machines.values() {
+        let n = m
+            .placements
+            .iter()
+            .filter(|p| p.job == spec.id && p.present())
+            .count();
+        if m.zone == zone {
+            here += n;
+        } else {
+            elsewhere += n;
+        }
+    }
+    let most = spec.tasks.div_ceil(2) as usize;
+    !(spec.one_zone && elsewhere > 0 || spec.spread && here >= most)
+}
+
+/// True for work that is placed on arrival: urgent and without a deadline.
+pub fn immediate(work: &Work) -> bool {
+    work.spec.kind == JobKind::Service || work.spec.deadline_s.is_none()
+}
--- /dev/null
+++ b/crates/control/src/node/relay.rs
@@ -0,0 +1,275 @@
+//! Workers' reports at a node, and the links between nodes.
+use super::*;
+
+impl Node {
+    pub(super) fn beat(&mut self, id: u64, body: Vec<u8>) {
+        let report: Report = match decode(&body) {
+            Ok(r) => r,
+            Err(why) => return self.out.error(id, 400, None, &why),
+        };
+        if self.leader.is_some() {
+            return match self.lead_beat(report) {
+                Some(orders) => self.out.reply(id, 200, None, &orders),
+                None => self
+                    .out
+                    .error(id, 503, Some(k::RETRY_STATE_S), "no longer leading"),
+            };
+        }
+        self.higher_term = self.higher_term.max(report.token);
+        let Some((l, _)) = &self.replica.leader else {
+            return self.out.error(id, 503, Some(k::RETRY_STATE_S), "no leader");
+        };
+        let node = l.node.clone();
+        let link = self.set.peers.iter().position(|p| *p == node);
+        match link {
+            Some(i)
+                if self.peers[i].up && self.now.ms < self.peers[i].heard + k::PEER_SILENT_MS =>
+            {
+                self.next_relay += 1;
+                let request = self.next_relay;
+                self.relays
+                    .insert(request, (id, self.now.ms + k::RELAY_TIMEOUT_MS));
+                self.out.actions.push(Action::Send {
+                    to: Link::Out(i),
+                    frame: Frame::Report { request, body },
+                });
+            }
+            Some(_) => self.far_beat(id, report, node),
+            None => self.out.reply(id, 421, None, &ReportTo { node: None }),
+        }
+    }
+
+    /// How long leases may be kept alive without word from the state service.
+    pub(super) fn alone_ms(&self) -> u64 {
+        ((self.set.cancel_s - self.set.lease_s).max(0.0) * k::ALONE_PART * 1e3) as u64
+    }
+
+    /// A report that can't be relayed, from a worker that may be cut off with us. Its lease is
+    /// kept alive with the leader's token, what is cancelled is ended, and the report goes on
+    /// through the state service.
+    pub(super) fn far_beat(&mut self, id: u64, report: Report, leader: String) {
+        let now = self.now.ms;
+        // The lease comes first: only a machine that has been here for a while is sent to try
+        // the leader itself, and while it tries in vain its lease still lasts.
+        self.redirected
+            .retain(|_, at| now < *at + 2 * k::FAR_REDIRECT_MS);
+        let since = self.redirected.entry(report.machine.clone()).or_insert(now);
+        if now >= *since + k::FAR_REDIRECT_MS {
+            *since = now;
+            let node = Some(leader);
+            return self.out.reply(id, 421, None, &ReportTo { node });
+        }
+        // Only while our copy of the jobs and of the term is fresh enough to end in time what
+        // is cancelled elsewhere.
+        let term = self.replica.term().unwrap_or(0);
+        if now > self.state_ok_at + self.alone_ms() || report.token > term {
+            return self
+                .out
+                .error(id, 503, Some(k::RETRY_STATE_S), "cut off from the leader");
+        }
+        let cancelled = |task: &str| {
+            let job = records::parse_task(task).map_or("", |t| t.0);
+            self.replica.end_of(job) == Some(End::Cancelled)
+        };
+        let commands = report
+            .tasks
+            .iter()
+            .filter(|t| t.state != TaskState::Exited && cancelled(&t.task))
+            .map(|t| Command::Stop {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+            .collect();
+        let orders = Orders {
+            token: term,
+            session: None,
+            commands,
+        };
+        self.out.reply(id, 200, None, &orders);
+        let entry = self
+            .far
+            .entry(report.machine.clone())
+            .or_insert_with(|| (report.clone(), true, 0));
+        entry.1 |= entry.0.tasks != report.tasks || entry.0.session != report.session;
+        entry.0 = report;
+    }
+
+    /// Hands reports on, the longest unheard first, as many as the budget allows.
+    pub(super) fn advance_far(&mut self) {
+        let now = self.now.ms;
+        if self.far.is_empty() || now < self.far_at || self.sync != Sync::Live {
+            return;
+        }
+        self.far_at = now + k::FAR_GAP_MS;
+        let redirected = &self.redirected;
+        self.far.retain(|m, _| redirected.contains_key(m));
+        let mut due: Vec<(Ms, String)> = self
+            .far
+            .iter()
+            .filter(|(_, (_, changed, at))| *changed || now >= at + k::FAR_REPEAT_MS)
+            .map(|(m, (_, _, at))| (*at, m.clone()))
+            .collect();
+        due.sort();
+        due.truncate((self.writes.level(now).max(0.0) as usize).min(self.set.txn_ops));
+        if due.is_empty() || !self.reads.take(now, 1.0) {
+            return;
+        }
+        let mut txn = Txn {
+            conditions: vec![],
+            writes: vec![],
+        };
+        let mut bytes = k::TXN_MARGIN;
+        for (_, machine) in due {
+            let Some((report, changed, at)) = self.far.get_mut(&machine) else {
+                continue;
+            };
+            let value = Value::Far(Box::new(FarRecord {
+                via: self.set.node.clone(),
+                report: report.clone(),
+            }));
+            let size = json_len(&value);
+            if size > self.set.value_bytes || bytes + size > k::TXN_BYTES {
+                continue;
+            }
+            bytes += size + 100;
+            (*changed, *at) = (false, now);
+            txn.writes.push(Write::Put {
+                key: records::far_key(&machine),
+                value,
+                lease: None,
+            });
+        }
+        if txn.writes.is_empty() {
+            return;
+        }
+        self.writes.force(now, txn.writes.len() as f64);
+        let call = self.out.call(
+            Target::State,
+            "POST",
+            "/multi".into(),
+            encode(&txn),
+            k::STATE_TIMEOUT_MS,
+        );
+        self.calls.insert(call, Call::Far);
+    }
+
+    /// The leader is alone: neither the state service nor any other node is heard. A higher
+    /// term and cancels may pass it by, so it must not keep leases alive for long.
+    pub(super) fn alone(&self) -> bool {
+        !self.peers.is_empty()
+            && !self.peer_heard()
+            && self.now.ms > self.state_ok_at + self.alone_ms()
+    }
+
+    pub(super) fn peer_heard(&self) -> bool {
+        let now = self.now.ms;
+        let heard = |p: &Peer| p.up && now < p.heard + k::PEER_SILENT_MS;
+        self.peers.iter().any(heard)
+    }
+
+    /// A report for the leader inside. `None`: it does not lead any more.
+    pub(super) fn lead_beat(&mut self, report: Report) -> Option<Orders> {
+        self.higher_term = self.higher_term.max(report.token);
+        let term = self.leader.as_ref().map(|l| l.term)?;
+        if self.alone() {
+            return None;
+        }
+        if report.token > term {
+            self.advance_role();
+            return None;
+        }
+        let mut orders = None;
+        self.run_leader(|leader, ctx| orders = leader.beat(ctx, report));
+        orders
+    }
+
+    pub(super) fn hello(&mut self, to: Link) {
+        let hello = Hello {
+            term: self.replica.highest_term.max(self.higher_term).into(),
+            leads: u8::from(self.role == Role::Leading),
+            state_ok: u8::from(self.sync == Sync::Live && self.state_failed_at.is_none()),
+            name: frame::name(&self.set.node),
+        };
+        self.out.actions.push(Action::Send {
+            to,
+            frame: Frame::Hello(hello),
+        });
+    }
+
+    pub(super) fn send_counts(&mut self) {
+        let Some(l) = &self.leader else { return };
+        let list = l.all_counts();
+        for (i, p) in self.peers.iter().enumerate() {
+            if p.up {
+                self.out.actions.push(Action::Send {
+                    to: Link::Out(i),
+                    frame: Frame::Counts(list.clone()),
+                });
+            }
+        }
+    }
+
+    pub(super) fn frame(&mut self, from: Link, frame: Frame) {
+        match frame {
+            Frame::Hello(h) => {
+                self.higher_term = self.higher_term.max(h.term.get());
+                let name = frame::text(&h.name).to_owned();
+                match from {
+                    Link::Out(i) => {
+                        self.peers[i].heard = self.now.ms;
+                        self.peers[i].state_ok = h.state_ok != 0;
+                    }
+                    // Every hello is answered, so that both ends of a link hear the other.
+                    Link::In(_) => {
+                        if self.set.peers.contains(&name) {
+                            self.hello(from);
+                        } else {
+                            log::warn!("a stranger says hello: {name:?}");
+                        }
+                    }
+                }
+            }
+            Frame::Report { request, body } => {
+                let (status, body) = match decode::<Report>(&body) {
+                    Ok(report) => match self.lead_beat(report) {
+                        Some(orders) => (200, encode(&orders)),
+                        None => (503, vec![]),
+                    },
+                    Err(why) => (400, encode(&ErrorBody { error: why })),
+                };
+                self.out.actions.push(Action::Send {
+                    to: from,
+                    frame: Frame::Answer {
+                        request,
+                        status,
+                        body,
+                    },
+                });
+            }
+            Frame::Answer {
+                request,
+                status,
+                body,
+            } => {
+                if let Some((id, _)) = self.relays.remove(&request) {
+                    self.out.actions.push(Action::Reply {
+                        id,
+                        status,
+                        retry_after_s: (status == 503).then_some(k::RETRY_STATE_S),
+                        body,
+                    });
+                }
+            }
+            Frame::Counts(list) => {
+                self.counts = list
+                    .iter()
+                    .map(|c| {
+                        let job = frame::text(&c.job).to_owned();
+                        (job, (c.done.get(), c.running.get()))
+                    })
+                    .collect();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/node/users.rs
@@ -0,0 +1,376 @@
+//! Users' requests: polls, submissions, cancels, health.
+use super::*;
+
+impl Node {
+    /// 200 only when the node can take requests. While the state service is away from every
+    /// node, taking all of them out would only delay the return.
+    pub(super) fn healthy(&self) -> bool {
+        if self.sync != Sync::Live || self.catalog.is_none() {
+            return false;
+        }
+        let alone = self.peers.iter().any(|p| p.up && p.state_ok);
+        !(self.state_out() && alone)
+    }
+
+    pub(super) fn state_out(&self) -> bool {
+        self.state_failed_at.is_some()
+            && self.now.ms.saturating_sub(self.state_ok_at) > k::STATE_DOWN_MS
+    }
+
+    pub(super) fn request(&mut self, id: u64, request: Request) {
+        let path = request.path.split('?').next().unwrap_or("");
+        let method = request.method.as_str();
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        let (known, asks) = match parts.as_slice() {
+            ["healthz"] => (method == "GET", None),
+            ["submissions"] => (
+                method == "POST",
+                Some(match JobSpec::parse(&request.body) {
+                    Ok(spec) => Ok(Ask::Submit(Box::new(spec))),
+                    Err(why) => Err((400, why)),
+                }),
+            ),
+            ["submissions", job] => (method == "GET", Some(by_id(job, Ask::Poll))),
+            ["submissions", job, "cancel"] => (method == "POST", Some(by_id(job, Ask::Cancel))),
+            ["agent", "beat"] => {
+                if method == "POST" {
+                    return self.beat(id, request.body);
+                }
+                (false, None)
+            }
+            _ => return self.out.error(id, 404, None, "no such path"),
+        };
+        if !known {
+            return self.out.error(id, 405, None, "method not allowed");
+        }
+        match asks {
+            None if self.healthy() => self.out.reply(id, 200, None, &Health { ready: true }),
+            None => self.out.error(id, 503, Some(k::RETRY_STATE_S), "not ready"),
+            Some(Err((status, why))) => self.out.error(id, status, None, &why),
+            Some(Ok(ask)) => self.ask(id, ask),
+        }
+    }
+
+    pub(super) fn ask(&mut self, id: u64, ask: Ask) {
+        let (Ask::Poll(job) | Ask::Cancel(job)) = &ask else {
+            return self.submit(id, ask);
+        };
+        // What has ended stays so: no need to ask the state service.
+        if self.replica.end_of(job).is_some() {
+            let status = self.status(job);
+            return self.out.reply(id, 200, None, &status);
+        }
+        let patience = match ask {
+            Ask::Poll(_) => k::POLL_PATIENCE_MS,
+            _ => k::STORE_PATIENCE_MS,
+        };
+        self.wait(Pending {
+            id,
+            ask,
+            until: self.now.ms + patience,
+            tries: 0,
+        });
+    }
+
+    pub(super) fn wait(&mut self, p: Pending) {
+        if self.sync != Sync::Live || self.state_out() {
+            return self.refuse(p.id);
+        }
+        self.waiting.push(p);
+    }
+
+    pub(super) fn refuse(&mut self, id: u64) {
+        self.out.error(
+            id,
+            503,
+            Some(k::RETRY_STATE_S),
+            "the state service does not answer",
+        );
+    }
+
+    pub(super) fn give_up(&mut self, polls: Vec<Pending>) {
+        for p in polls {
+            self.refuse(p.id);
+        }
+    }
+
+    pub(super) fn submit(&mut self, id: u64, ask: Ask) {
+        let Ask::Submit(spec) = &ask else { return };
+        if self.replica.end_of(&spec.id).is_some() {
+            let status = self.status(&spec.id);
+            return self.out.reply(id, 200, None, &status);
+        }
+        let p = |ask| Pending {
+            id,
+            ask,
+            until: self.now.ms + k::STORE_PATIENCE_MS,
+            tries: 0,
+        };
+        // Known jobs are answered before any other check.
+        if self.replica.jobs.contains_key(&spec.id) {
+            let p = p(ask);
+            return self.wait(p);
+        }
+        let Some(catalog) = &self.catalog else {
+            return self.out.error(
+                id,
+                503,
+                Some(k::RETRY_BUSY_S),
+                "machine types not known yet",
+            );
+        };
+        if self.sync != Sync::Live || self.state_out() {
+            return self.refuse(id);
+        }
+        match can_run(spec, &self.set, catalog) {
+            // Another node may have taken it under other circumstances: ask before refusing.
+            Err(_) => {
+                let p = p(ask);
+                self.wait(p);
+            }
+            Ok(()) => {
+                let p = p(ask);
+                self.to_store.push(p);
+            }
+        }
+    }
+
+    pub(super) fn advance_front(&mut self) {
+        let now = self.now.ms;
+        for list in [&mut self.waiting, &mut self.to_store] {
+            let mut late = vec![];
+            let mut i = 0;
+            while i < list.len() {
+                if now >= list[i].until {
+                    late.push(list.swap_remove(i).id);
+                } else {
+                    i += 1;
+                }
+            }
+            for id in late {
+                self.out.error(
+                    id,
+                    503,
+                    Some(k::RETRY_STATE_S),
+                    "the state service does not answer",
+                );
+            }
+        }
+        // Without requests nothing else would notice that the state service is back: the watch
+        // may hang, and requests are refused meanwhile. The leader also must not miss a cancel
+        // because its watch hangs.
+        let probe = self.state_failed_at.is_some() && now >= self.barrier_at + k::STATE_PROBE_MS
+            || self.role == Role::Leading && now >= self.barrier_at + k::LEADER_SYNC_MS;
+        if (!self.waiting.is_empty() || probe)
+            && self.sync == Sync::Live
+            && self.barriers < 2
+            && now >= self.barrier_at
+            && self.reads.take(now, 1.0)
+        {
+            self.barriers += 1;
+            self.barrier_at = now + k::BARRIER_GAP_MS;
+            let polls = std::mem::take(&mut self.waiting);
+            let patience = polls
+                .iter()
+                .map(|p| p.until - now)
+                .min()
+                .unwrap_or(k::STATE_TIMEOUT_MS)
+                .max(100);
+            let path = format!(
+                "/changes?prefix={COMMON}&since={}&holdMs=0",
+                self.replica.revision
+            );
+            let wait = patience.min(k::STATE_TIMEOUT_MS);
+            let call = self.out.call(Target::State, "GET", path, vec![], wait);
+            self.calls.insert(call, Call::Barrier { polls });
+        }
+        if !self.to_store.is_empty() && self.storing < 2 && now >= self.store_at {
+            self.store();
+        }
+    }
+
+    /// Puts as many submissions and cancels into one transaction as fit.
+    pub(super) fn store(&mut self) {
+        let now = self.now.ms;
+        let most = (self.writes.level(now) as usize).min(self.set.txn_ops);
+        if most == 0 || !self.reads.take(now, 1.0) {
+            return;
+        }
+        let mut txn = Txn {
+            conditions: vec![],
+            writes: vec![],
+        };
+        let (mut batch, mut rest, mut keys) = (vec![], vec![], HashSet::new());
+        let mut bytes = k::TXN_MARGIN;
+        for p in std::mem::take(&mut self.to_store) {
+            let (job, record, version) = match &p.ask {
+                Ask::Submit(spec) => {
+                    let record = JobRecord::submitted(spec, self.now.wall_ms);
+                    (spec.id.clone(), record, 0)
+                }
+                Ask::Cancel(job) => match self.replica.jobs.get(job) {
+                    Some(j) if j.record.end.is_none() => {
+                        let record = j.record.cancelled();
+                        (job.clone(), record, j.version)
+                    }
+                    // Ended meanwhile: the barrier answers it.
+                    _ => {
+                        self.waiting.push(p);
+                        continue;
+                    }
+                },
+                Ask::Poll(_) => continue,
+            };
+            let size = json_len(&record) + 300;
+            if batch.len() >= most || bytes + size > k::TXN_BYTES || keys.contains(&job) {
+                rest.push(p);
+                continue;
+            }
+            bytes += size;
+            let key = records::job_key(&job);
+            txn.conditions.push(Condition {
+                key: key.clone(),
+                version,
+            });
+            txn.writes.push(Write::Put {
+                key,
+                value: Value::Job(Box::new(record)),
+                lease: None,
+            });
+            keys.insert(job);
+            batch.push(p);
+        }
+        self.to_store = rest;
+        if batch.is_empty() {
+            return;
+        }
+        self.writes.force(now, batch.len() as f64);
+        self.storing += 1;
+        let call = self.out.call(
+            Target::State,
+            "POST",
+            "/multi".into(),
+            encode(&txn),
+            k::STATE_TIMEOUT_MS,
+        );
+        self.calls.insert(call, Call::Store { batch });
+    }
+
+    pub(super) fn stored(&mut self, batch: Vec<Pending>, result: CallResult) {
+        self.storing -= 1;
+        let now = self.now.ms;
+        match result {
+            Ok((200, body)) => {
+                let Ok(answer) = decode::<TxnAnswer>(&body) else {
+                    return self.give_up(batch);
+                };
+                for p in batch {
+                    match &p.ask {
+                        Ask::Submit(spec) => {
+                            let record = JobRecord::submitted(spec, self.now.wall_ms);
+                            let id = spec.id.clone();
+                            self.replica.put_job(&id, record, answer.revision);
+                            let body = status(&id, JobPhase::Queued);
+                            self.out.reply(p.id, 201, None, &body);
+                        }
+                        Ask::Cancel(job) => {
+                            if let Some(j) = self.replica.jobs.get(job) {
+                                let record = j.record.cancelled();
+                                self.replica.put_job(job, record, answer.revision);
+                            }
+                            let body = status(job, JobPhase::Cancelled);
+                            self.out.reply(p.id, 200, None, &body);
+                        }
+                        Ask::Poll(_) => {}
+                    }
+                }
+            }
+            // Someone else was first with a key: look again before answering.
+            Ok((409, body)) => {
+                let failed = decode::<TxnAnswer>(&body)
+                    .map(|a| a.failed)
+                    .unwrap_or_default();
+                for mut p in batch {
+                    p.tries += 1;
+                    let key = match &p.ask {
+                        Ask::Submit(s) => records::job_key(&s.id),
+                        Ask::Poll(j) | Ask::Cancel(j) => records::job_key(j),
+                    };
+                    if p.tries > 5 {
+                        self.refuse(p.id);
+                    } else if failed.contains(&key) {
+                        self.waiting.push(p);
+                    } else {
+                        self.to_store.push(p);
+                    }
+                }
+            }
+            Ok((429, _)) => {
+                self.store_at = now + k::STATE_RETRY_MS;
+                self.to_store.extend(batch);
+            }
+            other => {
+                log::debug!("store failed: {}", describe(&other));
+                self.give_up(batch);
+            }
+        }
+    }
+
+    /// After a barrier: the copy is as new as the request.
+    pub(super) fn answer(&mut self, p: Pending) {
+        match &p.ask {
+            Ask::Poll(job) => {
+                if self.replica.jobs.contains_key(job) {
+                    let status = self.status(job);
+                    self.out.reply(p.id, 200, None, &status);
+                } else {
+                    self.out.error(p.id, 404, None, "no such job");
+                }
+            }
+            Ask::Submit(spec) => {
+                if self.replica.jobs.contains_key(&spec.id) {
+                    let status = self.status(&spec.id);
+                    return self.out.reply(p.id, 200, None, &status);
+                }
+                let verdict = match &self.catalog {
+                    Some(c) => can_run(spec, &self.set, c),
+                    None => return self.refuse(p.id),
+                };
+                match verdict {
+                    Ok(()) => self.to_store.push(p),
+                    Err(why) => self.out.error(p.id, 422, None, &why),
+                }
+            }
+            Ask::Cancel(job) => match self.replica.jobs.get(job) {
+                None => self.out.error(p.id, 404, None, "no such job"),
+                Some(j) if j.record.end.is_some() => {
+                    let status = self.status(job);
+                    self.out.reply(p.id, 200, None, &status);
+                }
+                Some(_) => self.to_store.push(p),
+            },
+        }
+    }
+
+    pub(super) fn status(&self, job: &str) -> JobStatus {
+        let Some(j) = self.replica.jobs.get(job) else {
+            return status(job, JobPhase::Queued);
+        };
+        let (done, running) = match &self.leader {
+            Some(l) => l.counts(job),
+            None => self.counts.get(job).copied().unwrap_or((0, 0)),
+        };
+        let (state, done, running) = match j.record.end {
+            Some(End::Done) => (JobPhase::Done, j.record.tasks, 0),
+            Some(End::Cancelled) => (JobPhase::Cancelled, done, 0),
+            None if running > 0 => (JobPhase::Running, done, running),
+            None => (JobPhase::Queued, done, 0),
+        };
+        JobStatus {
+            id: job.into(),
+            state,
+            done: Some(done),
+            running: Some(running),
+        }
+    }
+}
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -6,25 +6,27 @@
 copy="$root/target/mutants"
 mkdir -p "$copy"
 bad=0
-mutant() { # trace, rule, file, perl substitution
+mutant() { # trace, rule, files, perl substitution
     rm -rf "$copy/crates"
     cp -r "$root/crates" "$root/Cargo.toml" "$root/Cargo.lock" "$copy/"
-    perl -0pi -e "$4" "$copy/crates/control/src/$3"
-    if cmp -s "$copy/crates/control/src/$3" "$root/crates/control/src/$3"; then
-        echo "STALE  $1: the guard was not found in $3"; bad=1; return
-    fi
+    for file in $3; do
+        perl -0pi -e "$4" "$copy/crates/control/src/$file"
+        if cmp -s "$copy/crates/control/src/$file" "$root/crates/control/src/$file"; then
+            echo "STALE  $1: the guard was not found in $file"; bad=1; return
+        fi
+    done
     out="$(cd "$copy" && CARGO_TARGET_DIR="$copy/target" cargo test -q --locked -p stonegw-testkit --test traces "$1" 2>&1 || true)"
     if grep -q "BROKEN $2" <<<"$out"; then echo "ok     $1 breaks $2 without its guard"
     else echo "ALIVE  $1 does not break $2"; tail -5 <<<"$out"; bad=1; fi
 }
-mutant run_waits_for_store ran_twice leader.rs 's/self\.next_attempt, Phase::New/self.next_attempt, Phase::Ready/'
-mutant old_session_report ran_twice leader.rs 's/if unsent \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if unsent/'
-mutant late_direct_command ran_twice leader.rs 's/if settled && beat && !open/if settled \&\& beat/'
-mutant cancel_races_a_start ran_cancelled leader.rs 's/if open && !p\.inherited \{/if false {/; s/settled && beat && !open/settled \&\& beat/; s/stop\.is_some\(\) && beat && !open/stop.is_some() \&\& beat/'
-mutant stale_node went_back node.rs 's/if self\.replica\.end_of\(job\)\.is_some\(\) \{\n            let status/if self.replica.jobs.contains_key(job) {\n            let status/'
+mutant run_waits_for_store ran_twice "leader/place.rs" 's/self\.next_attempt, Phase::New/self.next_attempt, Phase::Ready/'
+mutant old_session_report ran_twice "leader/place.rs" 's/if unsent \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if unsent/'
+mutant late_direct_command ran_twice "leader/command.rs" 's/if settled && beat && !open/if settled \&\& beat/'
+mutant cancel_races_a_start ran_cancelled "leader/command.rs leader/hear.rs" 's/if open && !p\.inherited \{/if false {/; s/settled && beat && !open/settled \&\& beat/; s/stop\.is_some\(\) && beat && !open/stop.is_some() \&\& beat/'
+mutant stale_node went_back "node/users.rs" 's/if self\.replica\.end_of\(job\)\.is_some\(\) \{\n            let status/if self.replica.jobs.contains_key(job) {\n            let status/'
 mutant team_limit quota ledger.rs 's/for p in machines\.values\(\)\.flat_map/for p in machines.values().filter(|m| m.heard.is_some()).flat_map/'
-mutant leader_ends_while_tasks_run ran_twice leader.rs 's/for p in e\.value\.tasks \{/for p in e.value.tasks.into_iter().take(0) {/'
-mutant stale_record ran_twice leader.rs 's/&& !p\.inherited\n\s+&& addr_known/\&\& addr_known/'
-mutant late_transaction ran_twice leader.rs 's/txn\.conditions\.push\(Condition \{\s+key: key\.clone\(\),\s+version,\s+\}\);/let _ = version;/'
-mutant late_report ran_twice leader.rs 's/if m\.under_token \{/if true {/'
+mutant leader_ends_while_tasks_run ran_twice "leader/load.rs" 's/for p in e\.value\.tasks \{/for p in e.value.tasks.into_iter().take(0) {/'
+mutant stale_record ran_twice "leader/command.rs" 's/&& !p\.inherited\n\s+&& addr_known/\&\& addr_known/'
+mutant late_transaction ran_twice "leader/store.rs" 's/txn\.conditions\.push\(Condition \{\s+key: key\.clone\(\),\s+version,\s+\}\);/let _ = version;/'
+mutant late_report ran_twice "leader/hear.rs" 's/if m\.under_token \{/if true {/'
 exit $bad
