--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -97,6 +97,19 @@
 /// below the smallest value limit.
 pub const DONE_CHUNK: u32 = 8_192;
 
+/// Machines that one record tells of at most: few records make few writes, and a transaction
+/// of eight rewrites a whole fleet; the size of a value bounds them further.
+pub const SHARD_MACHINES: usize = 32;
+/// Bytes of JSON that such a record takes besides its rows, on the safe side: team names.
+pub const SHARD_HEAD_BYTES: usize = 300;
+/// Bytes of JSON for one machine, one job, one task in it, on the safe side.
+pub const SHARD_MACHINE_BYTES: usize = 90;
+pub const SHARD_JOB_BYTES: usize = 70;
+pub const SHARD_TASK_BYTES: usize = 34;
+/// ms that results of a job wait, so that one write holds several. The worker shows them until
+/// they are stored; a job's last result does not wait.
+pub const RESULTS_MS: u64 = 2_000;
+
 // ---- Leadership -------------------------------------------------------------------------
 
 /// ms the leader key outlives its last renewal. Long enough for lost packets and late timers
@@ -157,6 +170,18 @@
 /// counts as lost, as long as few are silent: waiting out the lease costs more than a machine
 /// that might have come back.
 pub const LOST_URGENT_MS: u64 = 2_500;
+/// Answers or commands without effect, in a row, after which a machine that is heard counts as
+/// not hearing us: one or two are lost messages or a slow relay.
+pub const DEAF_MISSES: u32 = 3;
+/// ms between questions to such a machine, whether it hears again.
+pub const INSPECT_MS: u64 = 5_000;
+/// ms for which a copy of a direct command may still arrive ("minutes late"): so long a worker
+/// keeps an attempt that ended without being done, lest the copy start it anew.
+pub const COPY_LIFE_MS: u64 = 600_000;
+/// ms between repeats of a direct stop.
+pub const STOP_REPEAT_MS: u64 = 1_000;
+/// ms for which a deleted machine's late reports and lists are known as such.
+pub const DELETED_MS: u64 = 600_000;
 /// ms, first wait after a failed start of a task; doubled each time.
 pub const START_RETRY_MS: u64 = 1_000;
 /// ms, longest wait between starts of a task that keeps failing.
@@ -211,8 +236,18 @@
 pub const GUARANTEE_WAIT_MS: u64 = 1_500;
 /// ms of run time that a borrowed task may lose to it at most.
 pub const GUARANTEE_LOSS_MS: u64 = 15_000;
-/// Tasks for which room is reclaimed in one mapping at most.
+/// Tasks for which room is reclaimed in one mapping at most, or as many as this part of the
+/// fleet's machines if that is more.
 pub const GUARANTEE_STEP: usize = 12;
+pub const GUARANTEE_STEP_PART: usize = 8;
+/// ms that an urgent task waits for the room that lesser work is leaving for it, before other
+/// room is made: a stop takes a report or a direct command, and saving some seconds.
+pub const MAKING_ROOM_MS: u64 = 3_000;
+/// ms after its submission from which a job that has hardly begun goes before all but urgent
+/// work: the largest jobs must begin within four minutes, whatever else arrives.
+pub const OVERDUE_MS: u64 = 120_000;
+/// One in so many of its tasks makes a job begun.
+pub const OVERDUE_PART: usize = 8;
 
 // ---- Fleet ------------------------------------------------------------------------------
 
@@ -248,8 +283,10 @@
 pub const SPARE_OVERDUE: f64 = 1.2;
 /// Kept free for urgent work: tasks of the usual urgent size.
 pub const SPARE_TASKS: f64 = 2.0;
-/// Most machines rented in one decision of one kind: keeps a wrong estimate cheap.
+/// Most machines rented in one decision of one kind, or this part of the fleet if that is more:
+/// keeps a wrong estimate cheap.
 pub const HIRE_STEP: u32 = 8;
+pub const HIRE_STEP_PART: u32 = 6;
 /// Part of the time left to a deadline that the fleet is sized for; the remainder covers late
 /// starts and wrong estimates.
 pub const SLACK_USE: f64 = 0.85;
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -2,7 +2,7 @@
 //! catalogue and the refusals observed; names of requests carry the term and are never reused.
 use crate::api::{CallError, CallResult, Ms, Target};
 use crate::leader::{Ctx, Leader};
-use crate::ledger::{team_usage, Life, Machine, Phase};
+use crate::ledger::{Life, Machine, Phase};
 use crate::node::describe;
 use crate::settings::Bucket;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -88,6 +88,16 @@
     }
 }
 
+impl Bin {
+    /// Room for so many tasks is spoken for.
+    fn take(&mut self, s: &JobSpec, n: u32) {
+        let n = f64::from(n);
+        self.free.0 -= n * s.cpus;
+        self.free.1 -= n * s.gpus;
+        self.free.2 -= n * s.memory_gb;
+    }
+}
+
 fn fits(free: (f64, f64, f64), s: &JobSpec) -> bool {
     free.0 + k::EPSILON >= s.cpus
         && free.1 + k::EPSILON >= s.gpus
@@ -96,6 +106,11 @@
 
 /// How many tasks of a kind a fresh machine takes.
 fn per_machine(t: &MachineType, s: &JobSpec) -> u32 {
+    rooms((t.cpus, t.gpus, t.memory_gb), s)
+}
+
+/// How many tasks of a kind fit into that much room.
+fn rooms(free: (f64, f64, f64), s: &JobSpec) -> u32 {
     let each = |have: f64, need: f64| {
         if need > k::EPSILON {
             (have + k::EPSILON) / need
@@ -103,10 +118,10 @@
             f64::MAX
         }
     };
-    each(t.cpus, s.cpus)
-        .min(each(t.gpus, s.gpus))
-        .min(each(t.memory_gb, s.memory_gb))
-        .min(1e6) as u32
+    each(free.0, s.cpus)
+        .min(each(free.1, s.gpus))
+        .min(each(free.2, s.memory_gb))
+        .clamp(0.0, 1e6) as u32
 }
 
 impl Leader {
@@ -169,7 +184,8 @@
         let wanted = self.spare_wanted(ctx);
         let usual = self.fleet.usual.clone();
         let types = self.catalog.types.clone();
-        for m in self.machines.values_mut() {
+        let idle_boots = ctx.set.tuning.idle_boots;
+        self.machines.edit_all(|m| {
             let unsettled = m
                 .placements
                 .iter()
@@ -203,7 +219,7 @@
                         .iter()
                         .find(|t| t.name == m.kind)
                         .map_or(0.0, |t| t.boot_s);
-                    let patience = (boot * ctx.set.tuning.idle_boots * 1e3) as u64;
+                    let patience = (boot * idle_boots * 1e3) as u64;
                     if now >= since + patience && !kept {
                         spare -= room;
                         m.set_life(Life::Deleting);
@@ -212,7 +228,7 @@
                 Life::Up => m.idle_since = None,
                 _ => {}
             }
-        }
+        });
     }
 
     /// Rooms to keep for urgent tasks: a few, and the spread of what arrives during a boot.
@@ -300,10 +316,8 @@
         let again = k::CLOUD_TIMEOUT_MS + k::CLOUD_RETRY_MS;
         let ids: Vec<String> = self
             .machines
-            .values()
-            .filter(|m| {
-                m.life == Life::Deleting && (m.delete_sent == 0 || now >= m.delete_sent + again)
-            })
+            .deleting()
+            .filter(|m| m.delete_sent == 0 || now >= m.delete_sent + again)
             .map(|m| m.id.clone())
             .take(k::DELETE_MAX)
             .collect();
@@ -311,7 +325,7 @@
             return;
         }
         for id in &ids {
-            if let Some(m) = self.machines.get_mut(id) {
+            if let Some(mut m) = self.machines.edit(id) {
                 m.delete_sent = now;
             }
         }
@@ -369,15 +383,10 @@
                 }
             }
         }
-        let usage = team_usage(&self.machines);
-        let held: HashMap<&str, usize> =
-            self.machines
-                .values()
-                .flat_map(|m| &m.held)
-                .fold(HashMap::new(), |mut h, (job, _)| {
-                    *h.entry(job.as_str()).or_default() += 1;
-                    h
-                });
+        let mut zones: HashMap<String, usize> = HashMap::new();
+        for m in self.machines.values() {
+            *zones.entry(m.zone.clone()).or_default() += 1;
+        }
         let boot = self
             .catalog
             .types
@@ -392,12 +401,12 @@
             if s.kind == JobKind::Service && s.priority >= Priority::High {
                 self.fleet.usual = Some(s.clone());
             }
-            let mut n = w.pending.len() + held.get(id.as_str()).copied().unwrap_or(0);
+            let mut n = w.pending.len() + self.machines.held_of(id);
             if n == 0 || w.ending || w.failures > 8 {
                 continue;
             }
             if let Some(t) = ctx.set.team(&s.team) {
-                let used = usage.get(&s.team).copied().unwrap_or_default().0;
+                let used = self.machines.team(&s.team).0;
                 n = n.min(((t.cpus_max - used).max(0.0) / s.cpus.max(0.01)) as usize);
             }
             let due = w.due_s(ctx.now.wall_ms);
@@ -440,11 +449,19 @@
                 .sum();
             let short = waiting as f64 + self.spare_wanted(ctx) - have;
             if short > 0.0 {
-                self.rent_for(now, &s, short.ceil() as usize, &mut bins, &mut hires, true);
+                self.rent_for(
+                    now,
+                    &s,
+                    short.ceil() as usize,
+                    &zones,
+                    &mut bins,
+                    &mut hires,
+                    true,
+                );
             }
         }
         for (_, _, s, n) in wants {
-            self.rent_for(now, &s, n, &mut bins, &mut hires, false);
+            self.rent_for(now, &s, n, &zones, &mut bins, &mut hires, false);
         }
         // Deadline work: what the machines at hand can do by each deadline, earliest first, is
         // not rented for, though it may have to wait.
@@ -462,25 +479,29 @@
             }
             let more = (short / use_s(boot).max(1.0)).min(n as f64 * s.cpus);
             let tasks = (more / s.cpus.max(0.01)).ceil() as usize;
-            self.rent_for(now, &s, tasks.min(n), &mut bins, &mut hires, true);
+            self.rent_for(now, &s, tasks.min(n), &zones, &mut bins, &mut hires, true);
             cpus.push((tasks as f64 * s.cpus, boot));
         }
-        for ((kind, zone, spot), count) in hires {
-            self.fleet.next_hire += 1;
-            let number = self.fleet.next_hire;
-            log::info!("renting {count} {kind} in {zone}, spot {spot}");
-            self.fleet.renting.push(Renting {
-                number,
-                hire: Hire {
-                    request: format!("t{}-{}", self.fleet.term, number),
-                    machine_type: kind,
-                    zone,
-                    spot,
-                    count: count.min(k::HIRE_MAX),
-                },
-                state: HireState::Due { at: now },
-                doubt: false,
-            });
+        for ((kind, zone, spot), mut left) in hires {
+            log::info!("renting {left} {kind} in {zone}, spot {spot}");
+            while left > 0 {
+                let count = left.min(k::HIRE_MAX);
+                left -= count;
+                self.fleet.next_hire += 1;
+                let number = self.fleet.next_hire;
+                self.fleet.renting.push(Renting {
+                    number,
+                    hire: Hire {
+                        request: format!("t{}-{}", self.fleet.term, number),
+                        machine_type: kind.clone(),
+                        zone: zone.clone(),
+                        spot,
+                        count,
+                    },
+                    state: HireState::Due { at: now },
+                    doubt: false,
+                });
+            }
         }
     }
 
@@ -504,25 +525,25 @@
     }
 
     /// cpu-seconds that running deadline tasks still need, about: half a run each.
-    fn dated_running(&self) -> f64 {
-        self.machines
-            .values()
-            .flat_map(|m| &m.placements)
-            .filter(|p| p.present())
-            .filter_map(|p| {
-                let w = self.works.get(&p.job)?;
-                w.spec.deadline_s?;
-                Some(p.cpus * self.sched.mean_s(&w.spec) * 0.5)
-            })
-            .sum()
+    fn dated_running(&mut self) -> f64 {
+        let mut sum = 0.0;
+        for (id, w) in &self.works {
+            let n = self.machines.present_of(id).count();
+            if w.spec.deadline_s.is_some() && n > 0 {
+                sum += n as f64 * w.spec.cpus * self.sched.mean_s(&w.spec) * 0.5;
+            }
+        }
+        sum
     }
 
     /// Finds room for `n` tasks, renting where none is left. `fresh`: only new machines count.
+    #[allow(clippy::too_many_arguments)]
     fn rent_for(
         &self,
         now: Ms,
         s: &JobSpec,
         n: usize,
+        zones: &HashMap<String, usize>,
         bins: &mut Vec<Bin>,
         hires: &mut HashMap<(String, String, bool), u32>,
         fresh: bool,
@@ -533,15 +554,17 @@
                 && s.zone.as_ref().is_none_or(|z| z == zone)
         };
         let first = if fresh { bins.len() } else { 0 };
-        for done in 0..n {
-            let bin = bins[first..]
-                .iter_mut()
-                .find(|b| allowed(&b.kind, &b.zone, b.spot) && fits(b.free, s));
-            if let Some(b) = bin {
-                b.free = (b.free.0 - s.cpus, b.free.1 - s.gpus, b.free.2 - s.memory_gb);
-                continue;
+        let mut left = n as u32;
+        for b in &mut bins[first..] {
+            if left > 0 && fits(b.free, s) && allowed(&b.kind, &b.zone, b.spot) {
+                let k = rooms(b.free, s).min(left);
+                b.take(s, k);
+                left -= k;
             }
-            let left = (n - done) as u32;
+        }
+        // A wrong estimate must stay cheap, for the fleet's size.
+        let step = k::HIRE_STEP.max(self.machines.len() as u32 / k::HIRE_STEP_PART);
+        while left > 0 {
             let mut best: Option<(f64, &MachineType, &String, bool)> = None;
             for t in &self.catalog.types {
                 let each = per_machine(t, s).min(left);
@@ -557,12 +580,12 @@
                         };
                         let key = (t.name.clone(), zone.clone(), spot);
                         let waits = self.fleet.refused.get(&key).is_some_and(|r| now < r.0);
-                        let full = hires.get(&key).copied().unwrap_or(0) >= k::HIRE_STEP;
+                        let full = hires.get(&key).copied().unwrap_or(0) >= step;
                         if waits || full || !allowed(&t.name, zone, spot) {
                             continue;
                         }
                         // Among equals, the zone with fewer machines: one cut hurts less.
-                        let here = self.machines.values().filter(|m| m.zone == *zone).count();
+                        let here = zones.get(zone).copied().unwrap_or(0);
                         let cost = price / f64::from(each) * (1.0 + here as f64 * 1e-6);
                         if best.as_ref().is_none_or(|b| cost < b.0) {
                             best = Some((cost, t, zone, spot));
@@ -576,13 +599,17 @@
             *hires
                 .entry((t.name.clone(), zone.clone(), spot))
                 .or_default() += 1;
-            bins.push(Bin {
+            let mut bin = Bin {
                 eta: t.boot_s,
                 kind: t.name.clone(),
                 zone: zone.clone(),
                 spot,
-                free: (t.cpus - s.cpus, t.gpus - s.gpus, t.memory_gb - s.memory_gb),
-            });
+                free: (t.cpus, t.gpus, t.memory_gb),
+            };
+            let k = per_machine(t, s).min(left);
+            bin.take(s, k);
+            left -= k;
+            bins.push(bin);
         }
     }
 
@@ -644,7 +671,7 @@
                 other => {
                     log::warn!("delete: {}", describe(&other));
                     for id in ids {
-                        if let Some(m) = self.machines.get_mut(&id) {
+                        if let Some(mut m) = self.machines.edit(&id) {
                             m.delete_sent = now.saturating_sub(k::CLOUD_TIMEOUT_MS);
                         }
                     }
@@ -679,8 +706,7 @@
                 for id in answer.machines {
                     if !self.deleted.contains_key(&id) {
                         self.machines
-                            .entry(id.clone())
-                            .or_insert_with(|| Machine::new(&id, &key.0, &key.1, key.2, now));
+                            .add(&id, || Machine::new(&id, &key.0, &key.1, key.2, now));
                     }
                 }
             }
@@ -748,32 +774,35 @@
                 continue;
             }
             let age = (l.age_s.clamp(0.0, 1e9) * 1e3) as u64;
-            let m = self.machines.entry(l.id.clone()).or_insert_with(|| {
+            self.machines.add(&l.id, || {
                 log::info!("machine {} found in the list", l.id);
                 let mut m = Machine::new(&l.id, &l.machine_type, &l.zone, l.spot, now);
                 m.born = now.saturating_sub(age);
                 m
             });
+            let Some(mut m) = self.machines.edit(&l.id) else {
+                continue;
+            };
             m.listed = true;
             m.missing = 0;
             if m.addr.is_none() {
                 m.addr = l.addr;
             }
-            if l.state == MachineState::Failed && !matches!(m.life, Life::Deleting | Life::Gone) {
+            if l.state == MachineState::Failed && m.life != Life::Deleting {
                 log::warn!("machine {} failed", m.id);
                 m.set_life(Life::Deleting);
             }
         }
         // Once listed, a machine stays listed until it is gone; but lists are old.
         let lag = (ctx.set.list_lag_s * 2.0 * 1e3) as u64;
-        for m in self.machines.values_mut() {
+        self.machines.edit_all(|m| {
             if !present.contains(&m.id) && m.listed && now > m.known_since + lag {
                 m.missing += 1;
                 if m.missing >= 2 && m.heard.is_none() && m.life == Life::Booting {
                     m.set_life(Life::Deleting);
                 }
             }
-        }
+        });
     }
 }
 
--- a/crates/control/src/leader/command.rs
+++ b/crates/control/src/leader/command.rs
@@ -5,11 +5,11 @@
     /// Commands due for a machine. `beat`: they go in the answer to its newest report.
     pub(super) fn orders(&mut self, ctx: &Ctx, id: &str, beat: bool) -> Vec<Command> {
         let now = ctx.now.ms;
-        let Some(m) = self.machines.get_mut(id) else {
+        let Some(mut m) = self.machines.edit(id) else {
             return vec![];
         };
         let open = m.do_open.is_some() || m.do_lost;
-        let (seq, addr_known) = (m.seq, m.life != Life::Deleting);
+        let (seq, wanted) = (m.seq, m.life != Life::Deleting);
         let mut out = vec![];
         for p in &mut m.placements {
             let (task, attempt) = (p.task(), p.attempt);
@@ -35,19 +35,21 @@
                         });
                     } else if p.stop.is_none()
                         && !p.inherited
-                        && addr_known
+                        && wanted
                         && (p.phase == Phase::Ready || beat)
                     {
                         p.set_phase(Phase::Sent);
                         if beat {
                             p.sent_seq = seq;
+                        } else {
+                            p.direct = true;
                         }
                         out.push(Command::Start { task, attempt });
                     }
                 }
                 Phase::Fetching | Phase::Running | Phase::Saving => {
                     if let Some(grace_s) = p.stop {
-                        if beat || now >= p.stop_sent + 1_000 {
+                        if beat || now >= p.stop_sent + k::STOP_REPEAT_MS {
                             p.stop_sent = now;
                             out.push(Command::Stop {
                                 task,
@@ -59,8 +61,9 @@
                 }
                 // Never while a direct `run` may still arrive: after `clear` it would start
                 // the task anew.
-                Phase::Exited { settled, .. } => {
-                    if settled && beat && !open {
+                Phase::Exited { cause, settled } => {
+                    p.exited_at.get_or_insert(now);
+                    if settled && beat && !open && may_clear(now, p, cause) {
                         p.clear_sent = true;
                         out.push(Command::Forget { task, attempt });
                     }
@@ -75,17 +78,17 @@
         let now = ctx.now.ms;
         let ids: Vec<String> = self
             .machines
-            .values()
+            .with_commands()
             .filter(|m| {
                 m.do_open.is_none()
                     && m.addr.is_some()
                     && !m.quiet(now, ctx.set.report_s)
                     && !m.far
-                    && m.life != Life::Gone
+                    && !m.deaf()
                     && m.placements.iter().any(|p| match p.phase {
                         Phase::Ready => p.stop.is_none(),
                         Phase::Fetching | Phase::Running => {
-                            p.stop.is_some() && now >= p.stop_sent + 1_000
+                            p.stop.is_some() && now >= p.stop_sent + k::STOP_REPEAT_MS
                         }
                         _ => false,
                     })
@@ -94,7 +97,7 @@
             .collect();
         for id in ids {
             let commands = self.orders(ctx, &id, false);
-            let Some(m) = self.machines.get_mut(&id) else {
+            let Some(mut m) = self.machines.edit(&id) else {
                 continue;
             };
             if commands.is_empty() {
@@ -133,19 +136,20 @@
         runs: Vec<u64>,
         r: CallResult,
     ) {
-        let Some(m) = self.machines.get_mut(id) else {
+        let Some(mut m) = self.machines.edit(id) else {
             return;
         };
         m.do_open = None;
         match r {
             Ok((200 | 409, body)) => match decode::<Report>(&body) {
                 Ok(report) if report.machine == id => {
+                    drop(m);
                     if report.token > self.term {
                         self.deposed = true;
                         return;
                     }
                     self.hear(ctx, report, false);
-                    self.take_exits(ctx);
+                    self.take_exits(ctx, id);
                     return;
                 }
                 _ => log::warn!("answer of {id} not understood"),
@@ -156,13 +160,23 @@
                         p.set_phase(Phase::Ready);
                     }
                 }
+                m.missed(ctx.now.ms, 1);
                 return;
             }
             other => log::debug!("direct command to {id}: {}", describe(&other)),
         }
+        m.missed(ctx.now.ms, 1);
         // It may still arrive, minutes late, for as long as this session lasts.
         if m.session == session && !runs.is_empty() {
             m.do_lost = true;
         }
     }
 }
+
+/// Whether the worker may forget an exited task. One whose direct `run` may come once more,
+/// as a late copy, must find its attempt used up: else it would start anew while the task,
+/// which was not done, is elsewhere. The worker keeps it for as long as copies may travel.
+fn may_clear(now: Ms, p: &Placement, cause: ExitCause) -> bool {
+    let again = p.direct && !p.inherited && cause != ExitCause::Done;
+    !again || now >= p.exited_at.unwrap_or(now) + k::COPY_LIFE_MS
+}
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -12,18 +12,16 @@
         if self.stage != Stage::Loading {
             let id = report.machine.clone();
             let newer = self.hear(ctx, report, true);
-            if let Some(m) = self.machines.get_mut(&id).filter(|_| newer) {
-                m.far = false;
-            }
-            self.take_exits(ctx);
-            if newer && self.stage == Stage::Active {
-                self.promote(ctx, &id);
-            }
-            self.flush(ctx);
             if newer {
+                if let Some(mut m) = self.machines.edit(&id) {
+                    m.far = false;
+                }
+                self.take_exits(ctx, &id);
+                if self.stage == Stage::Active {
+                    self.promote(ctx, &id);
+                }
                 commands = self.orders(ctx, &id, true);
             }
-            self.command(ctx);
         }
         Some(Orders {
             token: self.term,
@@ -33,16 +31,22 @@
     }
 
     /// Takes in a report. `beat`: it came as a report, not as the answer to a direct command.
+    /// Only the newest by session and number says anything: copies of reports may come minutes
+    /// late, through any node.
     pub(super) fn hear(&mut self, ctx: &mut Ctx, report: Report, beat: bool) -> bool {
         let now = ctx.now.ms;
         let id = report.machine.clone();
         if self.deleted.contains_key(&id) {
             return false;
         }
-        let m = self.machines.entry(id.clone()).or_insert_with(|| {
+        self.machines.add(&id, || {
             log::info!("machine {id} reports for the first time");
             Machine::new(&id, &report.machine_type, &report.zone, report.spot, now)
         });
+        let term = self.term;
+        let Some(mut m) = self.machines.edit(&id) else {
+            return false;
+        };
         if (report.session, report.seq) <= (m.session, m.seq) {
             return false;
         }
@@ -51,6 +55,13 @@
         // had already seen our token in the old one.
         let inherited_too = m.under_token;
         let first = m.heard.is_none();
+        // We answered it all the while, and its lease ran out all the same; or it restarted.
+        let unheard = new_session && m.answered > 1 && !m.quiet(now, ctx.set.report_s);
+        if m.quiet(now, ctx.set.report_s) {
+            // What went unheard before or during a silence tells nothing of now.
+            m.reached();
+            m.answered = 0;
+        }
         m.count_use(now);
         m.session = report.session;
         m.seq = report.seq;
@@ -60,16 +71,22 @@
         m.kind = report.machine_type.clone();
         m.zone = report.zone.clone();
         m.spot = report.spot;
-        m.under_token = report.token == self.term;
+        let took_token = report.token == term && !m.under_token;
+        m.under_token = report.token == term;
+        if took_token || !beat {
+            m.reached();
+        } else if unheard || !m.under_token && m.answered > 1 {
+            m.missed(now, 1);
+        }
+        if beat {
+            m.answered += 1;
+        }
         m.notice = report
             .notice_s
             .filter(|s| s.is_finite())
             .map(|s| now + (s.max(0.0) * 1e3) as u64);
-        if first {
-            self.wake = true;
-            if m.life == Life::Booting {
-                m.set_life(Life::Up);
-            }
+        if first && m.life == Life::Booting {
+            m.set_life(Life::Up);
         }
         if m.notice.is_some() && m.life == Life::Up {
             m.set_life(Life::Draining);
@@ -80,6 +97,10 @@
             log::warn!("machine {id} began session {}", report.session);
             m.do_lost = false;
             m.images.clear();
+        }
+        drop(m);
+        self.wake |= first;
+        if new_session {
             self.all_gone(&id, Gone::Session { inherited_too });
         }
         self.compare(ctx, &id, &report.tasks, beat);
@@ -87,13 +108,16 @@
     }
 
     /// Compares a machine's newest report with what we hold.
-    pub(super) fn compare(&mut self, ctx: &mut Ctx, id: &str, tasks: &[TaskReport], beat: bool) {
+    fn compare(&mut self, ctx: &mut Ctx, id: &str, tasks: &[TaskReport], beat: bool) {
         let now = ctx.now.ms;
         let mut adopt = vec![];
-        let Some(m) = self.machines.get_mut(id) else {
+        let Some(mut m) = self.machines.edit(id) else {
             return;
         };
         let mut seen = vec![false; m.placements.len()];
+        // Whether commands in our last answer had their effect.
+        let (mut heeded, mut missed) = (false, false);
+        let seq = m.seq;
         for t in tasks {
             let Some((job, index)) = parse_task(&t.task) else {
                 log::warn!("{id} reports a task named {:?}", t.task);
@@ -109,8 +133,10 @@
                     let p = &mut m.placements[at];
                     let phase = phase_of(t);
                     if matches!(p.phase, Phase::Exited { .. }) {
+                        missed |= p.clear_sent && beat;
                         continue;
                     }
+                    heeded |= p.phase == Phase::Sent && p.sent_seq > 0;
                     if phase == Phase::Running && p.running_at.is_none() {
                         // An inherited task has run for an unknown while.
                         p.running_at = Some(now);
@@ -124,7 +150,7 @@
         // leader sent can then no longer start.
         let mut gone = vec![];
         if m.under_token {
-            let (open, seq) = (m.do_open.is_some() || m.do_lost, m.seq);
+            let open = m.do_open.is_some() || m.do_lost;
             let mut at = 0;
             m.placements.retain(|p| {
                 let here = seen[at];
@@ -132,6 +158,9 @@
                 if here {
                     return true;
                 }
+                if p.phase == Phase::Sent && p.sent_seq > 0 && beat {
+                    missed |= seq > p.sent_seq;
+                }
                 let out = match p.phase {
                     Phase::New | Phase::Ready => false,
                     Phase::Exited { settled, .. } => settled && p.clear_sent && beat,
@@ -141,6 +170,7 @@
                     Phase::Sent => p.stop.is_some() && beat && !open && seq > p.sent_seq,
                     _ => beat && !open && seq > p.sent_seq,
                 };
+                heeded |= out && p.clear_sent;
                 // What exited was taken back when it did.
                 if out && p.present() {
                     gone.push((p.job.clone(), p.index));
@@ -148,8 +178,14 @@
                 !out
             });
         }
+        if heeded {
+            m.reached();
+        } else if missed {
+            m.missed(now, 1);
+        }
+        drop(m);
         if !gone.is_empty() {
-            m.stored.stale = true;
+            self.stale(id);
         }
         for (job, index) in gone {
             self.back(&job, index);
@@ -160,20 +196,20 @@
     }
 
     /// A task that we hold nothing of. It counts until it is gone.
-    pub(super) fn adopt(&mut self, ctx: &mut Ctx, id: &str, job: &str, index: u32, t: &TaskReport) {
+    fn adopt(&mut self, ctx: &mut Ctx, id: &str, job: &str, index: u32, t: &TaskReport) {
         let now = ctx.now.ms;
-        if t.state != TaskState::Exited {
+        let phase = phase_of(t);
+        if phase_present(phase) {
             log::warn!("{id} has {job}/{index}#{} unknown to us", t.attempt);
         }
-        let elsewhere = self.is_present(job, index);
         let spec = ctx
             .replica
             .jobs
             .get(job)
             .and_then(|j| j.record.spec.as_ref());
-        let phase = phase_of(t);
-        let wanted = !elsewhere && self.works.contains_key(job);
-        let Some(m) = self.machines.get_mut(id) else {
+        let wanted = !self.is_present(job, index) && self.works.contains_key(job);
+        let shard = self.shard_for(id, job, true);
+        let Some(mut m) = self.machines.edit(id) else {
             return;
         };
         m.placements.push(Placement {
@@ -186,119 +222,126 @@
             running_at: Some(now),
             ..Placement::new(job, index, t.attempt, phase)
         });
-        m.stored.dirty = true;
-        if let (true, Some(w)) = (phase_present(phase), self.works.get_mut(job)) {
+        if !phase_present(phase) {
+            return;
+        }
+        m.shard = shard;
+        drop(m);
+        if let Some(s) = shard.and_then(|n| self.shards.get_mut(&n)) {
+            s.add(job);
+        }
+        if let Some(w) = self.works.get_mut(job) {
             w.take(index);
-            for m in self.machines.values_mut() {
+            self.unhold(job, index);
+        }
+    }
+
+    /// Takes a task out of the queues.
+    fn unhold(&mut self, job: &str, index: u32) {
+        if !self.machines.is_held(job, index) {
+            return;
+        }
+        for id in self.machines.of_job(job) {
+            if let Some(mut m) = self.machines.edit(&id) {
                 m.held.retain(|h| (h.0.as_str(), h.1) != (job, index));
             }
         }
     }
 
-    /// What exited tasks mean for their jobs.
-    pub(super) fn take_exits(&mut self, ctx: &mut Ctx) {
+    /// What exited tasks on a machine mean for their jobs.
+    pub(super) fn take_exits(&mut self, ctx: &mut Ctx, id: &str) {
         let now = ctx.now.ms;
         let mut exits = vec![];
-        for m in self.machines.values_mut() {
-            for p in &mut m.placements {
-                if let Phase::Exited { cause, settled } = &mut p.phase {
-                    if *settled || (*cause == ExitCause::Done && p.clear_sent) {
-                        continue;
-                    }
-                    if *cause == ExitCause::Done {
-                        // Settled once stored; `clear_sent` is set then.
-                        let work = self.works.get(&p.job);
-                        if let Some(w) = work.filter(|w| w.done.get(p.index)) {
-                            // Known before; if that is stored, nothing else will settle it.
-                            let chunk = w.chunks.get(&(p.index / k::DONE_CHUNK));
-                            *settled = chunk.is_some_and(|c| {
-                                !c.stored.dirty && !c.stored.writing && c.stored.version.is_some()
-                            });
-                            continue;
-                        }
-                    } else {
-                        *settled = true;
-                    }
-                    let run_s = p.running_at.map(|t| now.saturating_sub(t) as f64 / 1e3);
-                    let run_s = run_s.filter(|_| !p.inherited);
-                    exits.push((
-                        m.id.clone(),
-                        m.kind.clone(),
-                        p.job.clone(),
-                        p.index,
-                        *cause,
-                        run_s,
-                    ));
+        let works = &self.works;
+        let Some(mut m) = self.machines.edit(id) else {
+            return;
+        };
+        let kind = m.kind.clone();
+        for p in &mut m.placements {
+            let Phase::Exited { cause, settled } = &mut p.phase else {
+                continue;
+            };
+            if *settled || (*cause == ExitCause::Done && p.clear_sent) {
+                continue;
+            }
+            if *cause == ExitCause::Done {
+                // Settled once stored; `clear_sent` is set then.
+                let work = works.get(&p.job);
+                if let Some(w) = work.filter(|w| w.done.get(p.index)) {
+                    // Known before; if that is stored, nothing else will settle it.
+                    let chunk = w.chunks.get(&(p.index / k::DONE_CHUNK));
+                    *settled = chunk.is_some_and(|c| {
+                        !c.stored.dirty && !c.stored.writing && c.stored.version.is_some()
+                    });
+                    continue;
                 }
+                // Ended: nothing more follows.
+                if work.is_none() {
+                    *settled = true;
+                    continue;
+                }
+            } else {
+                *settled = true;
             }
+            let run_s = p.running_at.map(|t| now.saturating_sub(t) as f64 / 1e3);
+            let run_s = run_s.filter(|_| !p.inherited);
+            exits.push((p.job.clone(), p.index, *cause, run_s));
         }
-        for (id, kind, job, index, cause, run_s) in exits {
+        drop(m);
+        for (job, index, cause, run_s) in exits {
             self.wake = true;
             let Some(w) = self.works.get_mut(&job) else {
-                // Ended: nothing more follows.
-                self.settle(&job, index);
                 continue;
             };
-            match cause {
-                ExitCause::Done => {
-                    if w.done.set(index) {
-                        w.done_count += 1;
-                        w.take(index);
-                        w.dropped.remove(&index);
-                        let chunk = w.chunks.entry(index / k::DONE_CHUNK).or_insert(Chunk {
-                            stored: Stored::absent(),
-                        });
-                        chunk.stored.dirty = true;
-                        if let Some(s) = run_s {
-                            let spec = w.spec.clone();
-                            self.sched.record(&spec, &kind, s);
-                        }
-                    }
-                    for m in self.machines.values_mut() {
-                        m.held.retain(|h| (h.0.as_str(), h.1) != (&job, index));
-                    }
+            if cause != ExitCause::Done {
+                self.failed(now, id, &job, index, cause);
+                continue;
+            }
+            if w.done.set(index) {
+                w.done_count += 1;
+                w.take(index);
+                w.dropped.remove(&index);
+                let chunk = w.chunks.entry(index / k::DONE_CHUNK);
+                let chunk = chunk.or_insert_with(|| Chunk::new(Stored::absent()));
+                if !chunk.stored.dirty {
+                    chunk.stored.dirty = true;
+                    chunk.since = now;
                 }
-                _ => {
-                    log::info!("{job}/{index} on {id}: {cause:?}");
-                    let wait = |n: u32| (k::START_RETRY_MS << n.min(10)).min(k::START_RETRY_MAX_MS);
-                    match cause {
-                        ExitCause::Error => {
-                            w.failures += 1;
-                            w.bad.insert(id.clone());
-                            w.retry_at = now + wait(w.failures);
-                            if let Some(m) = self.machines.get_mut(&id) {
-                                m.errors.insert(job.clone());
-                                if m.errors.len() >= k::FAULTY_ERRORS && m.life == Life::Up {
-                                    m.set_life(Life::Draining);
-                                }
-                            }
-                        }
-                        ExitCause::Unknown | ExitCause::Busy => {
-                            w.failures += 1;
-                            w.retry_at = now + wait(w.failures);
-                        }
-                        ExitCause::NoRoom => {
-                            if let Some(m) = self.machines.get_mut(&id) {
-                                m.full_until = now + k::START_RETRY_MS * 2;
-                            }
-                        }
-                        _ => {}
-                    }
-                    self.back(&job, index);
+                self.due.insert(job.clone());
+                if let Some(s) = run_s {
+                    let spec = w.spec.clone();
+                    self.sched.record(&spec, &kind, s);
                 }
             }
+            self.unhold(&job, index);
         }
     }
 
-    pub(super) fn settle(&mut self, job: &str, index: u32) {
-        for m in self.machines.values_mut() {
-            for p in &mut m.placements {
-                if p.job == job && p.index == index {
-                    if let Phase::Exited { settled, .. } = &mut p.phase {
-                        *settled = true;
-                    }
+    /// A task exited without being done.
+    fn failed(&mut self, now: Ms, id: &str, job: &str, index: u32, cause: ExitCause) {
+        log::info!("{job}/{index} on {id}: {cause:?}");
+        let wait = |n: u32| (k::START_RETRY_MS << n.min(10)).min(k::START_RETRY_MAX_MS);
+        let (Some(w), Some(mut m)) = (self.works.get_mut(job), self.machines.edit(id)) else {
+            return;
+        };
+        match cause {
+            ExitCause::Error => {
+                w.failures += 1;
+                w.bad.insert(id.to_owned());
+                w.retry_at = now + wait(w.failures);
+                m.errors.insert(job.to_owned());
+                if m.errors.len() >= k::FAULTY_ERRORS && m.life == Life::Up {
+                    m.set_life(Life::Draining);
                 }
             }
+            ExitCause::Unknown | ExitCause::Busy => {
+                w.failures += 1;
+                w.retry_at = now + wait(w.failures);
+            }
+            ExitCause::NoRoom => m.full_until = now + k::START_RETRY_MS * 2,
+            _ => {}
         }
+        drop(m);
+        self.back(job, index);
     }
 }
--- a/crates/control/src/leader/jobs.rs
+++ b/crates/control/src/leader/jobs.rs
@@ -34,10 +34,8 @@
                         .works
                         .entry(id.clone())
                         .or_insert_with(|| Work::new(spec.clone(), at));
-                    for p in self.machines.values().flat_map(|m| &m.placements) {
-                        if p.job == id && p.present() {
-                            work.take(p.index);
-                        }
+                    for index in self.machines.present_of(&id) {
+                        work.take(index);
                     }
                     self.wake = true;
                 }
@@ -61,8 +59,12 @@
                 self.drops.push((done_key(id, chunk), c.stored));
             }
         }
+        self.due.remove(id);
         self.sched.forget(id);
-        for m in self.machines.values_mut() {
+        for machine in self.machines.of_job(id) {
+            let Some(mut m) = self.machines.edit(&machine) else {
+                continue;
+            };
             m.held.retain(|(j, _)| j != id);
             for p in m.placements.iter_mut().filter(|p| p.job == id) {
                 if let Phase::Exited { settled, .. } = &mut p.phase {
@@ -76,27 +78,27 @@
     }
 
     pub fn counts(&self, job: &str) -> (u32, u32) {
-        let running = self
-            .machines
-            .values()
-            .flat_map(|m| &m.placements)
-            .filter(|p| p.job == job && matches!(p.phase, Phase::Running | Phase::Saving))
-            .count() as u32;
-        (self.works.get(job).map_or(0, |w| w.done_count), running)
+        let done = self.works.get(job).map_or(0, |w| w.done_count);
+        (done, self.machines.running_of(job))
     }
 
-    pub fn all_counts(&self) -> Vec<Counts> {
-        let mut running: HashMap<&str, u32> = HashMap::new();
-        for p in self.machines.values().flat_map(|m| &m.placements) {
-            if matches!(p.phase, Phase::Running | Phase::Saving) {
-                *running.entry(&p.job).or_default() += 1;
-            }
+    fn counts_of(&self, job: &str) -> Counts {
+        let (done, running) = self.counts(job);
+        Counts {
+            job: frame::name(job),
+            done: done.into(),
+            running: running.into(),
         }
-        let all = self.works.iter().map(|(id, w)| Counts {
-            job: frame::name(id),
-            done: w.done_count.into(),
-            running: running.get(id.as_str()).copied().unwrap_or(0).into(),
-        });
-        all.take(frame::MAX_FRAME / size_of::<Counts>()).collect()
+    }
+
+    /// Counts of jobs whose running tasks changed since the last time.
+    pub fn changed_counts(&mut self) -> Vec<Counts> {
+        let changed = self.machines.take_counted();
+        changed.iter().map(|job| self.counts_of(job)).collect()
+    }
+
+    /// Counts of all jobs that are not finished, for a node that knows none.
+    pub fn all_counts(&self) -> Vec<Counts> {
+        self.works.keys().map(|job| self.counts_of(job)).collect()
     }
 }
--- a/crates/control/src/leader/load.rs
+++ b/crates/control/src/leader/load.rs
@@ -60,9 +60,9 @@
         };
         let prefix = *prefix;
         let next = if prefix == MACHINES {
-            page::<MachineRecord>(&body).map(|(items, next)| {
+            page::<ShardRecord>(&body).map(|(items, next)| {
                 for e in items {
-                    self.load_machine(now, e);
+                    self.load_shard(now, e);
                 }
                 next
             })
@@ -85,27 +85,41 @@
         };
     }
 
-    pub(super) fn load_machine(&mut self, now: Ms, e: Entry<MachineRecord>) {
-        let Some(id) = e.key.strip_prefix(MACHINES) else {
-            return;
+    pub(super) fn load_shard(&mut self, now: Ms, e: Entry<ShardRecord>) {
+        let number = e.key.strip_prefix(MACHINES).and_then(|n| n.parse().ok());
+        let Some(number) = number else {
+            return log::error!("unexpected record at {}", e.key);
         };
-        let mut m = Machine::new(id, &e.value.machine_type, &e.value.zone, e.value.spot, now);
-        m.addr = e.value.addr;
-        m.stored = Stored::at(e.version);
-        for p in e.value.tasks {
-            let Some((job, index)) = parse_task(&p.task) else {
+        let mut shard = Shard::new(Stored::at(e.version));
+        shard.bytes += json_len(&e.value);
+        shard.jobs = e.value.jobs.iter().map(|j| j.0.clone()).collect();
+        let record = e.value;
+        for MachineRow(id, kind, zone, spot, tasks) in record.machines {
+            self.machines
+                .add(&id, || Machine::new(&id, &kind, &zone, spot, now));
+            let Some(mut m) = self.machines.edit(&id) else {
                 continue;
             };
-            m.placements.push(Placement {
-                cpus: p.cpus,
-                gpus: p.gpus,
-                memory: p.mem,
-                team: p.team,
-                inherited: true,
-                ..Placement::new(job, index, p.attempt, Phase::Sent)
-            });
+            m.loaded = true;
+            m.shard = Some(number);
+            for TaskRow(job, index, attempt) in tasks {
+                let Some(JobRow(job, team, cpus, gpus, memory)) = record.jobs.get(job) else {
+                    log::error!("a record of {id} is not understood");
+                    continue;
+                };
+                m.placements.push(Placement {
+                    cpus: *cpus,
+                    gpus: *gpus,
+                    memory: *memory,
+                    team: record.teams.get(*team).cloned().unwrap_or_default(),
+                    inherited: true,
+                    ..Placement::new(job, index, attempt, Phase::Sent)
+                });
+            }
+            shard.machines.insert(id);
         }
-        self.machines.insert(id.into(), m);
+        shard.stored.stale = true;
+        self.shards.insert(number, shard);
     }
 
     pub(super) fn load_done(&mut self, ctx: &mut Ctx, e: Entry<DoneRecord>) {
@@ -126,9 +140,12 @@
                 }
                 let done = &work.done;
                 work.pending.retain(|n| !done.get(*n));
+                if work.pending.is_empty() {
+                    self.due.insert(job.into());
+                }
                 work.done_count = work.spec.tasks - work.pending.len() as u32;
                 let stored = Stored::at(e.version);
-                work.chunks.insert(chunk, Chunk { stored });
+                work.chunks.insert(chunk, Chunk::new(stored));
                 self.sched.inherit(job, e.value.runs, e.value.run_s);
             }
             Some(_) => self.drops.push((e.key, Stored::at(e.version))),
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -4,16 +4,16 @@
 //! under our term, and a task moves only when it is proven gone.
 use crate::api::{CallError, CallResult, Ms, Now, Target};
 use crate::fleet::{Fleet, FleetCall};
-use crate::ledger::{Chunk, Life, Machine, Phase, Placement, Stored, Work};
+use crate::ledger::{Chunk, Life, Machine, Machines, Phase, Placement, Reach, Shard, Stored, Work};
 use crate::node::{describe, Out};
 use crate::records::{
-    self, done_key, job_key, machine_key, parse_task, DoneRecord, End, JobRecord, MachineRecord,
-    Value, DONE, LEADER, MACHINES,
+    self, done_key, job_key, parse_task, shard_key, DoneRecord, End, JobRecord, JobRow, MachineRow,
+    ShardRecord, TaskRow, Value, DONE, LEADER, MACHINES,
 };
 use crate::replica::Replica;
 use crate::schedule::Scheduler;
 use crate::settings::{Bucket, Settings};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use stonegw_constants as k;
 use stonegw_wire::frame::{self, Counts};
 use stonegw_wire::msg::{
@@ -58,25 +58,28 @@
     }
 }
 
+/// A machine's name and an attempt on it.
+pub type On = (String, u64);
+
 /// What of the store one transaction changes, to be marked when its answer comes.
 #[derive(Clone, Debug)]
 pub enum Item {
-    /// The attempts the record held.
-    Machine {
-        id: String,
-        attempts: Vec<u64>,
+    /// The unstored attempts that the record now holds.
+    Shard {
+        shard: u32,
+        new: Vec<On>,
     },
-    MachineGone {
-        id: String,
+    ShardGone {
+        shard: u32,
     },
     Done {
         job: String,
         chunk: u32,
-        exits: Vec<u64>,
+        exits: Vec<On>,
     },
     End {
         job: String,
-        exits: Vec<u64>,
+        exits: Vec<On>,
     },
     DropDone {
         key: String,
@@ -137,8 +140,16 @@
     load: Option<(&'static str, Option<String>, bool, Ms)>,
     next_attempt: u64,
     pub catalog: Catalog,
-    pub machines: BTreeMap<String, Machine>,
+    pub machines: Machines,
     pub works: BTreeMap<String, Work>,
+    /// Jobs with results or an end to be stored.
+    due: BTreeSet<String>,
+    /// The records that tell of the machines.
+    shards: BTreeMap<u32, Shard>,
+    /// What was written without an answer: its stamp is read before it is written again.
+    doubts: Vec<Item>,
+    /// Bytes of JSON that a record may take.
+    value_bytes: usize,
     /// Machines that were deleted, with the time: late lists and reports still name them.
     pub deleted: HashMap<String, Ms>,
     flushing: bool,
@@ -164,7 +175,7 @@
 }
 
 impl Leader {
-    pub fn new(term: u64, lease: u64, now: Ms, catalog: Catalog) -> Leader {
+    pub fn new(term: u64, lease: u64, now: Ms, catalog: Catalog, set: &Settings) -> Leader {
         Leader {
             term,
             lease,
@@ -180,8 +191,12 @@
             load: Some((MACHINES, None, false, now)),
             next_attempt: term * k::ATTEMPTS_PER_TERM,
             catalog,
-            machines: BTreeMap::new(),
+            machines: Machines::default(),
             works: BTreeMap::new(),
+            due: BTreeSet::new(),
+            shards: BTreeMap::new(),
+            doubts: vec![],
+            value_bytes: set.value_bytes,
             deleted: HashMap::new(),
             flushing: false,
             flush_at: 0,
@@ -265,10 +280,10 @@
             }
             let id = report.machine.clone();
             if self.hear(ctx, report, false) {
-                if let Some(m) = self.machines.get_mut(&id) {
+                if let Some(mut m) = self.machines.edit(&id) {
                     m.far = true;
                 }
-                self.take_exits(ctx);
+                self.take_exits(ctx, &id);
             }
         }
     }
@@ -311,7 +326,7 @@
 
 fn item_key(item: &Item) -> String {
     match item {
-        Item::Machine { id, .. } | Item::MachineGone { id } => machine_key(id),
+        Item::Shard { shard, .. } | Item::ShardGone { shard } => shard_key(*shard),
         Item::Done { job, chunk, .. } => done_key(job, *chunk),
         Item::End { job, .. } => records::job_key(job),
         Item::DropDone { key } => key.clone(),
@@ -335,7 +350,7 @@
 }
 
 /// Which tasks a job may have where, given its others.
-pub fn zone_allows(machines: &BTreeMap<String, Machine>, work: &Work, zone: &str) -> bool {
+pub fn zone_allows(machines: &Machines, work: &Work, zone: &str) -> bool {
     let spec = &work.spec;
     if spec.zone.as_ref().is_some_and(|z| z != zone) {
         return false;
@@ -343,20 +358,8 @@
     if !spec.one_zone && !spec.spread {
         return true;
     }
-    let (mut here, mut elsewhere) = (0, 0);
-    for m in machines.values() {
-        let n = m
-            .placements
-            .iter()
-            .filter(|p| p.job == spec.id && p.present())
-            .count();
-        if m.zone == zone {
-            here += n;
-        } else {
-            elsewhere += n;
-        }
-    }
-    let most = spec.tasks.div_ceil(2) as usize;
+    let (here, elsewhere) = machines.zones_of(&spec.id, zone);
+    let most = spec.tasks.div_ceil(2);
     !(spec.one_zone && elsewhere > 0 || spec.spread && here >= most)
 }
 
--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -2,20 +2,25 @@
 use super::*;
 
 impl Leader {
-    /// Puts a waiting task on a machine. Nothing goes out before it is stored.
-    pub fn place(&mut self, machine: &str, job: &str, index: u32) {
+    /// Puts a waiting task on a machine. Nothing goes out before it is stored. False: it waits
+    /// on, for there is no room in the record.
+    pub fn place(&mut self, machine: &str, job: &str, index: u32) -> bool {
         // The last guard against running twice, whatever went wrong before.
         if self.is_present(job, index) {
             log::error!("{job}/{index} may already be on a machine; not placed again");
             if let Some(w) = self.works.get_mut(job) {
                 w.take(index);
             }
-            return;
+            return true;
         }
-        let (Some(m), Some(w)) = (self.machines.get_mut(machine), self.works.get_mut(job)) else {
-            return;
+        let Some(shard) = self.shard_for(machine, job, false) else {
+            return false;
+        };
+        let (Some(mut m), Some(w)) = (self.machines.edit(machine), self.works.get_mut(job)) else {
+            return false;
         };
         w.take(index);
+        m.shard = Some(shard);
         self.next_attempt += 1;
         log::debug!("place {job}/{index}#{} on {machine}", self.next_attempt);
         m.placements.push(Placement {
@@ -25,8 +30,11 @@
             team: w.spec.team.clone(),
             ..Placement::new(job, index, self.next_attempt, Phase::New)
         });
-        m.stored.dirty = true;
         m.idle_since = None;
+        if let Some(s) = self.shards.get_mut(&shard) {
+            s.add(job);
+            s.urgent |= w.urgent();
+        }
         let cache = self
             .catalog
             .types
@@ -34,14 +42,55 @@
             .find(|t| t.name == m.kind)
             .map_or(0.0, |t| t.cache_gb);
         m.use_image(&w.spec.image, w.spec.image_gb, cache);
+        true
+    }
+
+    /// The record that will tell of one more task of the job on the machine. `None`: it is
+    /// full until its next write. `force`: the task is there already and must be told of.
+    pub fn shard_of(&self, m: &Machine, job: &str, force: bool) -> Option<u32> {
+        let fits = |s: &Shard| force || s.bytes + s.more(job) <= self.value_bytes;
+        // What may be on a machine stands in one record. An empty machine may change it.
+        if let Some(n) = m.shard {
+            let has_room = self.shards.get(&n).is_some_and(fits);
+            if has_room || m.placements.iter().any(Placement::present) {
+                return has_room.then_some(n);
+            }
+        }
+        let room =
+            |s: &Shard| s.bytes <= self.value_bytes / 2 && s.machines.len() < k::SHARD_MACHINES;
+        let open = self.shards.iter().find(|(_, s)| room(s)).map(|(n, _)| *n);
+        open.or_else(|| (0..).find(|n| !self.shards.contains_key(n)))
+    }
+
+    pub(super) fn shard_for(&mut self, machine: &str, job: &str, force: bool) -> Option<u32> {
+        let m = self.machines.get(machine)?;
+        let n = self.shard_of(m, job, force)?;
+        let was = m.shard.filter(|was| *was != n);
+        if let Some(s) = was.and_then(|w| self.shards.get_mut(&w)) {
+            s.machines.remove(machine);
+            s.stored.stale = true;
+        }
+        let new = || Shard::new(Stored::absent());
+        let s = self.shards.entry(n).or_insert_with(new);
+        if s.machines.insert(machine.to_owned()) {
+            s.bytes += k::SHARD_MACHINE_BYTES;
+        }
+        Some(n)
+    }
+
+    /// What the machine's record holds is more than need be.
+    pub(super) fn stale(&mut self, machine: &str) {
+        let shard = self.machines.get(machine).and_then(|m| m.shard);
+        if let Some(s) = shard.and_then(|n| self.shards.get_mut(&n)) {
+            s.stored.stale = true;
+        }
     }
 
     /// A task is proven gone from where it was: it waits again, unless it is elsewhere.
     pub fn back(&mut self, job: &str, index: u32) {
         self.wake = true;
         // A task that is held waits already; waiting twice, it would start twice.
-        let held = |m: &Machine| m.held.iter().any(|(j, i)| j == job && *i == index);
-        let elsewhere = self.is_present(job, index) || self.machines.values().any(held);
+        let elsewhere = self.machines.is_present(job, index) || self.machines.is_held(job, index);
         if let (false, Some(w)) = (elsewhere, self.works.get_mut(job)) {
             w.give_back(index);
         }
@@ -49,15 +98,12 @@
 
     /// Whether the task may be on some machine.
     pub(super) fn is_present(&self, job: &str, index: u32) -> bool {
-        self.machines
-            .values()
-            .flat_map(|m| &m.placements)
-            .any(|p| p.job == job && p.index == index && p.present())
+        self.machines.is_present(job, index)
     }
 
     /// Everything on the machine is proven gone.
     pub(super) fn all_gone(&mut self, id: &str, how: Gone) {
-        let Some(m) = self.machines.get_mut(id) else {
+        let Some(mut m) = self.machines.edit(id) else {
             return;
         };
         let mut gone = vec![];
@@ -73,8 +119,9 @@
             gone.push((p.job.clone(), p.index));
             false
         });
+        drop(m);
         if !gone.is_empty() {
-            m.stored.stale = true;
+            self.stale(id);
         }
         for (job, index) in gone {
             self.back(&job, index);
--- a/crates/control/src/leader/silence.rs
+++ b/crates/control/src/leader/silence.rs
@@ -1,23 +1,41 @@
-//! Machines that fall silent, and machines that are gone.
+//! Machines that fall silent or don't hear us, and machines that are gone.
 use super::*;
 
+/// How many machines count, how many of them are silent, and how many don't hear us.
+#[derive(Clone, Copy, Default)]
+struct Tally {
+    all: usize,
+    quiet: usize,
+    deaf: usize,
+}
+
 impl Leader {
     pub(super) fn watch_machines(&mut self, ctx: &Ctx) {
         let now = ctx.now.ms;
+        let report_s = ctx.set.report_s;
         let lease_ms = (ctx.set.lease_s * 1e3) as u64;
         let lost_ms = (ctx.set.lease_s * k::LOST_LEASES * 1e3) as u64;
         let settled = self.stage == Stage::Active && self.confirmed(ctx);
+        let mut total = Tally::default();
+        let mut zones: HashMap<&str, Tally> = HashMap::new();
         // Machines that a predecessor left with tasks count before they are heard.
-        let heard = |m: &&Machine| {
-            (m.heard.is_some() || m.stored != Stored::absent())
-                && matches!(m.life, Life::Booting | Life::Up | Life::Draining)
-        };
-        let all = self.machines.values().filter(heard).count();
-        let silent = |m: &&Machine| m.quiet(now, ctx.set.report_s);
-        let quiet = self.machines.values().filter(heard).filter(silent).count();
+        for m in self.machines.values() {
+            if (m.heard.is_some() || m.loaded) && m.life != Life::Deleting {
+                let quiet = usize::from(m.quiet(now, report_s));
+                let deaf = usize::from(m.deaf());
+                for t in [&mut total, zones.entry(&m.zone).or_default()] {
+                    t.all += 1;
+                    t.quiet += quiet;
+                    t.deaf += deaf;
+                }
+            }
+        }
+        let part = |n: usize, p: f64| n as f64 > total.all as f64 * p;
         // When many fall silent together, the trouble is more likely ours, or a cut that ends.
-        let many = quiet > k::SILENT_FEW && quiet as f64 > all as f64 * k::SILENT_PART;
-        if settled && all > 1 && ctx.may_resign {
+        let many = total.quiet > k::SILENT_FEW && part(total.quiet, k::SILENT_PART);
+        // The same holds when many don't hear us.
+        let many_deaf = total.deaf > k::SILENT_FEW && part(total.deaf, k::SILENT_PART);
+        if settled && total.all > 1 && ctx.may_resign {
             let last = self.machines.values().filter_map(|m| m.heard).max();
             if last.is_some_and(|at| now > at.max(self.since) + k::DEAF_MS) {
                 log::warn!("term {}: no machine is heard; resigning", self.term);
@@ -26,19 +44,15 @@
                 return;
             }
         }
-        let period = (ctx.set.report_s * 1.25 * 1e3) as u64;
+        let period = (report_s * 1.25 * 1e3) as u64;
         let urgent_ms = (period + 2 * k::WORKER_TRY_MS + k::LOST_URGENT_MS).min(lost_ms);
-        let few = quiet <= k::SILENT_FEW || (quiet as f64) < all as f64 * k::SILENT_FEW_PART;
+        let few = total.quiet <= k::SILENT_FEW || !part(total.quiet, k::SILENT_FEW_PART);
         // Nearly a whole zone that falls silent is most likely cut off, and comes back.
-        let mut zones: HashMap<String, (usize, usize)> = HashMap::new();
-        for m in self.machines.values().filter(heard) {
-            let z = zones.entry(m.zone.clone()).or_default();
-            z.0 += 1;
-            z.1 += usize::from(silent(&m));
-        }
-        zones.retain(|_, (all, quiet)| {
-            *quiet > k::SILENT_FEW && *quiet as f64 >= *all as f64 * k::SILENT_ZONE_PART
-        });
+        let cut = |zone: &str| {
+            zones.get(zone).is_some_and(|t| {
+                t.quiet > k::SILENT_FEW && t.quiet as f64 >= t.all as f64 * k::SILENT_ZONE_PART
+            })
+        };
         let lost_ms = if many { lost_ms * 3 } else { lost_ms };
         let urgent = |m: &Machine| {
             m.placements.iter().any(|p| {
@@ -46,80 +60,127 @@
                 work.is_some_and(|w| w.urgent())
             })
         };
-        for m in self.machines.values_mut() {
+        let (mut lost, mut closing) = (vec![], vec![]);
+        for m in self.machines.values() {
+            let quiet = m.quiet(now, report_s);
             let quiet_ms = now.saturating_sub(m.heard.unwrap_or(m.known_since));
             let mattered = m.heard.is_some() || !m.placements.is_empty();
-            if matches!(m.life, Life::Up | Life::Draining | Life::Booting) && settled && mattered {
+            if m.life != Life::Deleting && settled && mattered {
                 let taken = m.notice.is_some_and(|t| now > t + 2_000);
                 let vanished = m.missing >= 2 || taken;
-                let lost_ms = if zones.contains_key(&m.zone) {
+                let limit = if cut(&m.zone) {
                     lost_ms.max(3 * lease_ms)
                 } else if few && !m.far && urgent(m) {
                     urgent_ms
                 } else {
                     lost_ms
                 };
-                if quiet_ms > lost_ms || (vanished && m.quiet(now, ctx.set.report_s)) {
-                    // The delete is the proof that everything on it is gone.
-                    log::warn!("machine {} is lost after {} ms", m.id, quiet_ms);
-                    m.set_life(Life::Deleting);
+                // One that is heard but does not hear us is of no use; by its lease's end
+                // nothing runs there any more.
+                let deaf_ms = if many_deaf { 3 * lease_ms } else { lease_ms };
+                let deaf = match m.reach {
+                    Reach::Deaf { since } => now > since + deaf_ms,
+                    _ => false,
+                };
+                if quiet_ms > limit || (vanished && quiet) || deaf {
+                    log::warn!("machine {} is lost after {quiet_ms} ms, deaf {deaf}", m.id);
+                    lost.push(m.id.clone());
                 }
             }
-            // Placements that were never sent may simply be taken back.
-            if matches!(m.life, Life::Deleting | Life::Draining) {
-                m.idle_since.get_or_insert(now);
+            let no_more = matches!(m.life, Life::Draining | Life::Deleting) || quiet || m.deaf();
+            if no_more && (!m.placements.is_empty() || !m.held.is_empty()) {
+                closing.push(m.id.clone());
             }
         }
-        // Unsent placements of jobs that ended, or on machines that get nothing new.
+        for id in lost {
+            // The delete is the proof that everything on it is gone.
+            if let Some(mut m) = self.machines.edit(&id) {
+                m.set_life(Life::Deleting);
+            }
+        }
+        for id in closing {
+            self.take_unsent(&id, true);
+        }
+        // Unsent placements of jobs that ended, wherever they are.
+        let ended: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| {
+                m.placements.iter().any(|p| {
+                    matches!(p.phase, Phase::New | Phase::Ready)
+                        && (p.stop.is_some() || !self.works.contains_key(&p.job))
+                })
+            })
+            .map(|m| m.id.clone())
+            .collect();
+        for id in ended {
+            self.take_unsent(&id, false);
+        }
+        self.deleted.retain(|_, at| now < *at + k::DELETED_MS);
+    }
+
+    /// Placements that were never sent may simply be taken back: of jobs that ended, and all
+    /// where nothing new is to start. What was sent to a machine that does not hear us is
+    /// called off.
+    fn take_unsent(&mut self, id: &str, closing: bool) {
+        let works = &self.works;
+        let writing = self
+            .machines
+            .get(id)
+            .and_then(|m| self.shards.get(&m.shard?))
+            .is_some_and(|s| s.stored.writing);
+        let Some(mut m) = self.machines.edit(id) else {
+            return;
+        };
         let mut back = vec![];
-        for m in self.machines.values_mut() {
-            let closing =
-                matches!(m.life, Life::Draining | Life::Deleting) || m.quiet(now, ctx.set.report_s);
-            let works = &self.works;
-            let writing = m.stored.writing;
-            m.placements.retain(|p| {
-                let unwanted = p.stop.is_some() || !works.contains_key(&p.job) || closing;
-                let out = p.phase == Phase::Ready && unwanted
-                    || p.phase == Phase::New && unwanted && !writing;
-                if out {
-                    back.push((p.job.clone(), p.index));
-                    m.stored.stale = true;
+        m.placements.retain(|p| {
+            let unwanted = p.stop.is_some() || !works.contains_key(&p.job) || closing;
+            let out = p.phase == Phase::Ready && unwanted
+                || p.phase == Phase::New && unwanted && !writing;
+            if out {
+                back.push((p.job.clone(), p.index));
+            }
+            !out
+        });
+        let unstored = !back.is_empty();
+        if closing {
+            back.append(&mut m.held);
+            if m.deaf() {
+                for p in m.placements.iter_mut().filter(|p| p.phase == Phase::Sent) {
+                    p.stop.get_or_insert(0.0);
                 }
-                !out
-            });
-            if closing {
-                back.append(&mut m.held);
             }
         }
+        drop(m);
+        if unstored {
+            self.stale(id);
+        }
         for (job, index) in back {
             self.back(&job, index);
         }
-        self.deleted.retain(|_, at| now < *at + 600_000);
     }
 
     /// The cloud confirmed: the machine and everything on it are gone.
     pub fn machine_deleted(&mut self, now: Ms, id: &str) {
         self.all_gone(id, Gone::Machine);
         self.deleted.insert(id.into(), now);
-        if let Some(m) = self.machines.get_mut(id) {
-            for (job, index) in std::mem::take(&mut m.held) {
-                if let Some(w) = self.works.get_mut(&job) {
-                    w.give_back(index);
-                }
-            }
-            let cpus = self
-                .catalog
-                .types
-                .iter()
-                .find(|t| t.name == m.kind)
-                .map_or(1.0, |t| t.cpus);
+        let Some(mut m) = self.machines.edit(id) else {
+            return;
+        };
+        let held = std::mem::take(&mut m.held);
+        let kind = m.kind.clone();
+        drop(m);
+        for (job, index) in held {
+            self.back(&job, index);
+        }
+        self.stale(id);
+        let cpus = self.kind(&kind).map_or(1.0, |t| t.cpus);
+        if let Some(m) = self.machines.get(id) {
             log::info!("machine {id} account: {}", m.account(now, cpus));
-            m.set_life(Life::Gone);
-            if m.stored == Stored::absent() {
-                self.machines.remove(id);
-            } else {
-                m.stored.stale = true;
+            if let Some(s) = m.shard.and_then(|n| self.shards.get_mut(&n)) {
+                s.machines.remove(id);
             }
         }
+        self.machines.remove(id);
     }
 }
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -1,6 +1,108 @@
 //! Writing ahead: what is due, one transaction at a time.
 use super::*;
 
+/// A transaction being put together.
+struct Draft {
+    txn: Txn<Value>,
+    items: Vec<Item>,
+    bytes: usize,
+    most: usize,
+}
+
+impl Draft {
+    fn new(term: u64, most: usize) -> Draft {
+        let ours = Condition {
+            key: LEADER.into(),
+            version: term,
+        };
+        Draft {
+            txn: Txn {
+                conditions: vec![ours],
+                writes: vec![],
+            },
+            items: vec![],
+            bytes: k::TXN_MARGIN,
+            most,
+        }
+    }
+
+    /// False if it does not fit any more.
+    fn add(&mut self, key: String, version: u64, value: Option<Value>, item: Item) -> bool {
+        let size = value.as_ref().map_or(0, json_len) + 2 * key.len() + 120;
+        if self.items.len() >= self.most || self.bytes + size > k::TXN_BYTES {
+            return false;
+        }
+        self.bytes += size;
+        self.txn.conditions.push(Condition {
+            key: key.clone(),
+            version,
+        });
+        self.txn.writes.push(match value {
+            Some(value) => Write::Put {
+                key,
+                value,
+                lease: None,
+            },
+            None => Write::Delete { key },
+        });
+        self.items.push(item);
+        true
+    }
+}
+
+/// What was done of a job, or of one chunk of it, and is still shown by a worker.
+fn done_exits(machines: &Machines, job: &str, chunk: Option<u32>) -> Vec<On> {
+    let mut out = vec![];
+    for id in machines.of_job(job) {
+        for p in machines.get(&id).iter().flat_map(|m| &m.placements) {
+            let done = Phase::Exited {
+                cause: ExitCause::Done,
+                settled: false,
+            };
+            let here = chunk.is_none_or(|c| p.index / k::DONE_CHUNK == c);
+            if p.job == job && p.phase == done && here {
+                out.push((id.clone(), p.attempt));
+            }
+        }
+    }
+    out
+}
+
+/// What a group's record holds now, and which attempts it holds for the first time.
+fn shard_record(machines: &Machines, shard: &Shard) -> (ShardRecord, Vec<On>) {
+    let mut out = ShardRecord::default();
+    let (mut new, mut jobs) = (vec![], HashMap::new());
+    for m in shard.machines.iter().filter_map(|id| machines.get(id)) {
+        let mut rows = vec![];
+        for p in m.placements.iter().filter(|p| p.present()) {
+            let job = *jobs.entry(p.job.as_str()).or_insert_with(|| {
+                let team = out.teams.iter().position(|t| *t == p.team);
+                let team = team.unwrap_or_else(|| {
+                    out.teams.push(p.team.clone());
+                    out.teams.len() - 1
+                });
+                out.jobs
+                    .push(JobRow(p.job.clone(), team, p.cpus, p.gpus, p.memory));
+                out.jobs.len() - 1
+            });
+            rows.push(TaskRow(job, p.index, p.attempt));
+            if p.phase == Phase::New {
+                new.push((m.id.clone(), p.attempt));
+            }
+        }
+        if !rows.is_empty() {
+            out.machines.push(MachineRow(
+                m.id.clone(),
+                m.kind.clone(),
+                m.zone.clone(),
+                m.spot,
+                rows,
+            ));
+        }
+    }
+    (out, new)
+}
+
 impl Leader {
     /// Writes what is due, one transaction at a time. Every write names the stamp it replaces,
     /// so that a transaction applied late changes nothing.
@@ -12,86 +114,89 @@
         if self.reread(ctx) {
             return;
         }
+        if self.due.is_empty() && self.drops.is_empty() && !self.shards.values().any(Shard::due) {
+            return;
+        }
         let level = ctx.writes.level(now);
         let most = (level.max(0.0) as usize).min(ctx.set.txn_ops);
         if most == 0 {
             return;
         }
-        let mut txn: Txn<Value> = Txn {
-            conditions: vec![Condition {
-                key: LEADER.into(),
-                version: self.term,
-            }],
-            writes: vec![],
-        };
-        let mut items = vec![];
-        let mut bytes = k::TXN_MARGIN;
-        let mut add = |key: String, version: u64, value: Option<Value>, item: Item| -> bool {
-            let size = value.as_ref().map_or(0, json_len) + 2 * key.len() + 120;
-            if items.len() >= most || bytes + size > k::TXN_BYTES {
-                return false;
+        let mut draft = Draft::new(self.term, most);
+        self.flush_urgent(ctx, &mut draft);
+        self.flush_ends(ctx, &mut draft);
+        self.flush_results(ctx, &mut draft);
+        self.flush_shards(ctx, &mut draft, |s| s.stored.dirty);
+        // Tidying must not eat the budget that placements may need in the next second.
+        if level > ctx.set.txn_ops as f64 * 0.5 {
+            self.flush_shards(ctx, &mut draft, |s| s.stored.stale);
+            for (key, stored) in &mut self.drops {
+                if let (Some(version), false) = (stored.version, stored.writing) {
+                    let item = Item::DropDone { key: key.clone() };
+                    if version != 0 && draft.add(key.clone(), version, None, item) {
+                        stored.writing = true;
+                    }
+                }
             }
-            bytes += size;
-            txn.conditions.push(Condition {
-                key: key.clone(),
-                version,
-            });
-            txn.writes.push(match value {
-                Some(value) => Write::Put {
-                    key,
-                    value,
-                    lease: None,
-                },
-                None => Write::Delete { key },
-            });
-            items.push(item);
-            true
-        };
-        // Ends and results first: users wait for them. Then placements, then tidying.
-        for (id, w) in &mut self.works {
-            let exits = |chunk: Option<u32>| -> Vec<u64> {
-                self.machines
-                    .values()
-                    .flat_map(|m| &m.placements)
-                    .filter(|p| {
-                        &p.job == id
-                            && chunk.is_none_or(|c| p.index / k::DONE_CHUNK == c)
-                            && matches!(
-                                p.phase,
-                                Phase::Exited {
-                                    cause: ExitCause::Done,
-                                    ..
-                                }
-                            )
-                    })
-                    .map(|p| p.attempt)
-                    .collect()
+            self.drops.retain(|(_, s)| s.version != Some(0));
+        }
+        let Draft { txn, items, .. } = draft;
+        if items.is_empty() {
+            return;
+        }
+        if !ctx.reads.take(now, 1.0) {
+            return self.unflush(&items);
+        }
+        ctx.writes.force(now, items.len() as f64);
+        self.flushing = true;
+        let body = encode(&txn);
+        let call = Call::Flush { items };
+        let wait = k::STATE_TIMEOUT_MS;
+        ctx.call(call, Target::State, "POST", "/multi".into(), body, wait);
+    }
+
+    /// Placements of urgent work, which is counted in seconds.
+    fn flush_urgent(&mut self, ctx: &Ctx, draft: &mut Draft) {
+        self.flush_shards(ctx, draft, |s| s.stored.dirty && s.urgent);
+    }
+
+    /// Jobs of which all tasks are done: users wait for it.
+    fn flush_ends(&mut self, ctx: &Ctx, draft: &mut Draft) {
+        for id in &self.due {
+            let (Some(w), Some(j)) = (self.works.get_mut(id), ctx.replica.jobs.get(id)) else {
+                continue;
+            };
+            if w.done_count != w.spec.tasks || w.ending {
+                continue;
+            }
+            let record = JobRecord {
+                spec: None,
+                end: Some(End::Done),
+                seen: self.sched.seen(&w.spec),
+                ..j.record.clone()
+            };
+            let item = Item::End {
+                job: id.clone(),
+                exits: done_exits(&self.machines, id, None),
+            };
+            let value = Some(Value::Job(Box::new(record)));
+            if draft.add(job_key(id), j.version, value, item) {
+                w.ending = true;
+            }
+        }
+    }
+
+    /// Results of jobs that go on. They wait a little, so that one write holds several; the
+    /// worker tells them until they are stored.
+    fn flush_results(&mut self, ctx: &Ctx, draft: &mut Draft) {
+        let now = ctx.now.ms;
+        let mut settled = vec![];
+        for id in &self.due {
+            let Some(w) = self.works.get_mut(id) else {
+                settled.push(id.clone());
+                continue;
             };
             if w.done_count == w.spec.tasks {
-                if w.ending {
-                    continue;
-                }
-                let Some(j) = ctx.replica.jobs.get(id) else {
-                    continue;
-                };
-                let record = JobRecord {
-                    spec: None,
-                    end: Some(End::Done),
-                    seen: self.sched.seen(&w.spec),
-                    ..j.record.clone()
-                };
-                let item = Item::End {
-                    job: id.clone(),
-                    exits: exits(None),
-                };
-                if add(
-                    job_key(id),
-                    j.version,
-                    Some(Value::Job(Box::new(record))),
-                    item,
-                ) {
-                    w.ending = true;
-                }
                 continue;
             }
             for (n, c) in &mut w.chunks {
@@ -100,82 +205,89 @@
                 else {
                     continue;
                 };
+                if now < c.since + k::RESULTS_MS {
+                    continue;
+                }
                 let bits = w.done.encode(n * k::DONE_CHUNK, k::DONE_CHUNK);
                 let item = Item::Done {
                     job: id.clone(),
                     chunk: *n,
-                    exits: exits(Some(*n)),
+                    exits: done_exits(&self.machines, id, Some(*n)),
                 };
                 let (runs, run_s) = self.sched.observed(id);
                 let value = Value::Done(DoneRecord { bits, runs, run_s });
-                if add(done_key(id, *n), version, Some(value), item) {
+                if draft.add(done_key(id, *n), version, Some(value), item) {
                     c.stored.dirty = false;
                     c.stored.writing = true;
                 }
             }
+            if !w.chunks.values().any(|c| c.stored.dirty) {
+                settled.push(id.clone());
+            }
         }
-        // Tidying must not eat the budget that placements may need in the next second.
-        let tidy = level > ctx.set.txn_ops as f64 * 0.5;
-        for urgent in [true, false] {
-            for (id, m) in &mut self.machines {
-                let due = if urgent {
-                    m.stored.dirty
-                } else {
-                    m.stored.stale && tidy
-                };
-                let (true, Some(version), false) = (due, m.stored.version, m.stored.writing) else {
-                    continue;
-                };
-                let (value, item) = if m.life == Life::Gone {
-                    (None, Item::MachineGone { id: id.clone() })
-                } else {
-                    let attempts = m.placements.iter().map(|p| p.attempt).collect();
-                    let item = Item::Machine {
-                        id: id.clone(),
-                        attempts,
-                    };
-                    (Some(Value::Machine(m.record())), item)
-                };
-                if add(machine_key(id), version, value, item) {
-                    m.stored.dirty = false;
-                    m.stored.stale = false;
-                    m.stored.writing = true;
+        for id in settled {
+            self.due.remove(&id);
+        }
+    }
+
+    fn flush_shards(&mut self, ctx: &Ctx, draft: &mut Draft, due: fn(&Shard) -> bool) {
+        let mut empty = vec![];
+        for (number, shard) in &mut self.shards {
+            let (true, Some(version), false) =
+                (due(shard), shard.stored.version, shard.stored.writing)
+            else {
+                continue;
+            };
+            let (record, new) = shard_record(&self.machines, shard);
+            let size = json_len(&record);
+            if size > ctx.set.value_bytes {
+                log::error!("record {number} of machines takes {size} bytes; not written");
+                continue;
+            }
+            let n = *number;
+            let named: BTreeSet<String> = record.machines.iter().map(|m| m.0.clone()).collect();
+            let jobs = record.jobs.iter().map(|j| j.0.clone()).collect();
+            let (value, item) = if !named.is_empty() {
+                (Some(Value::Shard(record)), Item::Shard { shard: n, new })
+            } else if version != 0 {
+                (None, Item::ShardGone { shard: n })
+            } else {
+                empty.push(n);
+                continue;
+            };
+            if !draft.add(shard_key(n), version, value, item) {
+                continue;
+            }
+            shard.bytes = size + k::SHARD_HEAD_BYTES;
+            shard.jobs = jobs;
+            shard.stored.dirty = false;
+            shard.stored.stale = false;
+            shard.stored.writing = true;
+            shard.urgent = false;
+            // Machines without tasks need no record; they may go to another.
+            for id in std::mem::replace(&mut shard.machines, named) {
+                if !shard.machines.contains(&id) {
+                    if let Some(mut m) = self.machines.edit(&id) {
+                        m.shard = None;
+                    }
                 }
             }
         }
-        for (key, stored) in &mut self.drops {
-            if let (Some(version), false, true) = (stored.version, stored.writing, tidy) {
-                let item = Item::DropDone { key: key.clone() };
-                if add(key.clone(), version, None, item) {
-                    stored.writing = true;
+        for n in empty {
+            if let Some(s) = self.shards.remove(&n) {
+                for id in s.machines {
+                    if let Some(mut m) = self.machines.edit(&id) {
+                        m.shard = None;
+                    }
                 }
             }
         }
-        self.drops.retain(|(_, s)| s.version != Some(0));
-        if items.is_empty() {
-            return;
-        }
-        if !ctx.reads.take(now, 1.0) {
-            return self.unflush(&items);
-        }
-        ctx.writes.force(now, items.len() as f64);
-        self.flushing = true;
-        let wait = k::STATE_TIMEOUT_MS;
-        let call = Call::Flush { items };
-        ctx.call(
-            call,
-            Target::State,
-            "POST",
-            "/multi".into(),
-            encode(&txn),
-            wait,
-        );
     }
 
     pub(super) fn stored_of(&mut self, item: &Item) -> Option<&mut Stored> {
         match item {
-            Item::Machine { id, .. } | Item::MachineGone { id } => {
-                self.machines.get_mut(id).map(|m| &mut m.stored)
+            Item::Shard { shard, .. } | Item::ShardGone { shard } => {
+                self.shards.get_mut(shard).map(|s| &mut s.stored)
             }
             Item::Done { job, chunk, .. } => {
                 if let Some(w) = self.works.get_mut(job) {
@@ -195,6 +307,9 @@
     /// Nothing of it was carried out: all is due again.
     pub(super) fn unflush(&mut self, items: &[Item]) {
         for item in items {
+            if let Item::End { job, .. } | Item::Done { job, .. } = item {
+                self.due.insert(job.clone());
+            }
             if let Item::End { job, .. } = item {
                 if let Some(w) = self.works.get_mut(job) {
                     w.ending = false;
@@ -230,9 +345,7 @@
                 for item in &items {
                     let key = item_key(item);
                     if failed.contains(&key) {
-                        if let Some(s) = self.stored_of(item) {
-                            s.version = None;
-                        }
+                        self.doubt(item);
                     }
                 }
                 self.flush_at = now + k::STATE_RETRY_MS;
@@ -260,31 +373,46 @@
     pub(super) fn unsure(&mut self, items: &[Item]) {
         self.unflush(items);
         for item in items {
-            if let Some(s) = self.stored_of(item) {
-                s.version = None;
-            }
+            self.doubt(item);
+        }
+    }
+
+    fn doubt(&mut self, item: &Item) {
+        let Some(s) = self.stored_of(item) else {
+            return;
+        };
+        if s.version.take().is_some() {
+            self.doubts.push(item.clone());
         }
     }
 
     pub(super) fn written(&mut self, ctx: &mut Ctx, items: Vec<Item>, revision: u64) {
-        let mut settled: Vec<u64> = vec![];
+        let mut settled: Vec<On> = vec![];
         for item in items {
+            let gone = matches!(item, Item::ShardGone { .. });
             if let Some(s) = self.stored_of(&item) {
                 s.writing = false;
-                s.version = Some(revision);
+                s.version = Some(if gone { 0 } else { revision });
             }
             match item {
-                Item::Machine { id, attempts } => {
-                    if let Some(m) = self.machines.get_mut(&id) {
-                        for p in &mut m.placements {
-                            if p.phase == Phase::New && attempts.contains(&p.attempt) {
+                Item::Shard { new, .. } => {
+                    for on in new {
+                        self.mark(&on, |p| {
+                            if p.phase == Phase::New {
                                 p.set_phase(Phase::Ready);
                             }
-                        }
+                        });
                     }
                 }
-                Item::MachineGone { id } => {
-                    self.machines.remove(&id);
+                // Something may have gone into it since.
+                Item::ShardGone { shard } => {
+                    if self
+                        .shards
+                        .get(&shard)
+                        .is_some_and(|s| s.machines.is_empty())
+                    {
+                        self.shards.remove(&shard);
+                    }
                 }
                 Item::Done { exits, .. } => settled.extend(exits),
                 Item::DropDone { key } => self.drops.retain(|d| d.0 != key),
@@ -307,11 +435,20 @@
                 }
             }
         }
-        for p in self.machines.values_mut().flat_map(|m| &mut m.placements) {
-            if settled.contains(&p.attempt) {
+        for on in settled {
+            self.mark(&on, |p| {
                 if let Phase::Exited { settled, .. } = &mut p.phase {
                     *settled = true;
                 }
+            });
+        }
+    }
+
+    /// Changes a placement, if it is still there.
+    fn mark(&mut self, (machine, attempt): &On, change: impl FnOnce(&mut Placement)) {
+        if let Some(mut m) = self.machines.edit(machine) {
+            if let Some(p) = m.placements.iter_mut().find(|p| p.attempt == *attempt) {
+                change(p);
             }
         }
     }
@@ -319,29 +456,7 @@
     /// Reads the stamp of one key whose last write is in doubt.
     pub(super) fn reread(&mut self, ctx: &mut Ctx) -> bool {
         let now = ctx.now.ms;
-        let machine = self
-            .machines
-            .values()
-            .find(|m| m.stored.version.is_none())
-            .map(|m| Item::Machine {
-                id: m.id.clone(),
-                attempts: vec![],
-            });
-        let done = || {
-            self.works.iter().find_map(|(id, w)| {
-                let (chunk, _) = w.chunks.iter().find(|(_, c)| c.stored.version.is_none())?;
-                Some(Item::Done {
-                    job: id.clone(),
-                    chunk: *chunk,
-                    exits: vec![],
-                })
-            })
-        };
-        let dropped = || {
-            let d = self.drops.iter().find(|d| d.1.version.is_none())?;
-            Some(Item::DropDone { key: d.0.clone() })
-        };
-        let Some(item) = machine.or_else(done).or_else(dropped) else {
+        let Some(item) = self.doubts.last().cloned() else {
             return false;
         };
         if ctx.reads.take(now, 1.0) {
@@ -363,12 +478,15 @@
     pub(super) fn reread_done(&mut self, ctx: &Ctx, item: Item, result: CallResult) {
         self.rereading = false;
         let version = match result {
-            Ok((200, body)) => decode::<Entry<Value>>(&body).map(|e| e.version).ok(),
+            Ok((200, body)) => decode::<Entry<serde::de::IgnoredAny>>(&body)
+                .map(|e| e.version)
+                .ok(),
             Ok((404, _)) => Some(0),
             _ => None,
         };
         match version {
             Some(v) => {
+                self.doubts.pop();
                 if let Some(s) = self.stored_of(&item) {
                     s.version = Some(v);
                     s.writing = false;
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -1,7 +1,8 @@
 //! What the leader holds about machines, the tasks that may be on them, and the jobs' work.
 use crate::api::Ms;
-use crate::records::{task_name, Bitmap, MachineRecord, PlacedRecord};
+use crate::records::{task_name, Bitmap};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::ops::{Deref, DerefMut};
 use stonegw_constants as k;
 use stonegw_wire::msg::{ExitCause, JobKind, JobSpec, MachineType, Priority};
 
@@ -47,6 +48,9 @@
     pub sent_seq: u64,
     pub running_at: Option<Ms>,
     pub clear_sent: bool,
+    /// A `run` went out by a direct command, of which copies may arrive late.
+    pub direct: bool,
+    pub exited_at: Option<Ms>,
 }
 
 impl Placement {
@@ -67,6 +71,8 @@
             sent_seq: 0,
             running_at: None,
             clear_sent: false,
+            direct: false,
+            exited_at: None,
         }
     }
 
@@ -106,6 +112,9 @@
 }
 
 impl Stored {
+    pub fn known(&self) -> bool {
+        self.version.is_some()
+    }
     pub fn absent() -> Stored {
         Stored::at(0)
     }
@@ -128,8 +137,20 @@
     Draining,
     /// A delete has been or will be asked for.
     Deleting,
-    /// Deleted; only the stored record has to go.
-    Gone,
+}
+
+/// Whether what we say reaches a machine that we hear.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    Fine,
+    /// So many answers or commands in a row had no effect.
+    Doubtful {
+        misses: u32,
+    },
+    /// It hears nothing.
+    Deaf {
+        since: Ms,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -147,6 +168,9 @@
     pub far: bool,
     /// The last report was made under our token.
     pub under_token: bool,
+    pub reach: Reach,
+    /// Reports answered since its last silence.
+    pub answered: u32,
     pub known_since: Ms,
     /// Rented at, as far as we know.
     pub born: Ms,
@@ -158,7 +182,10 @@
     pub placements: Vec<Placement>,
     /// Tasks held for room freeing next.
     pub held: Vec<(String, u32)>,
-    pub stored: Stored,
+    /// The record that tells of it.
+    pub shard: Option<u32>,
+    /// A predecessor left tasks here.
+    pub loaded: bool,
     /// A direct command is unanswered.
     pub do_open: Option<u64>,
     /// A direct command with a `run` was given up in this session: it may still arrive.
@@ -173,6 +200,8 @@
     pub ran: f64,
     pub fetched: f64,
     pub up_at: Option<Ms>,
+    /// What the sums hold of it.
+    shown: Shown,
 }
 
 impl Machine {
@@ -189,6 +218,8 @@
             heard: None,
             far: false,
             under_token: false,
+            reach: Reach::Fine,
+            answered: 0,
             known_since: now,
             born: now,
             listed: false,
@@ -196,7 +227,8 @@
             notice: None,
             placements: vec![],
             held: vec![],
-            stored: Stored::absent(),
+            shard: None,
+            loaded: false,
             do_open: None,
             do_lost: false,
             images: VecDeque::new(),
@@ -207,6 +239,7 @@
             ran: 0.0,
             fetched: 0.0,
             up_at: None,
+            shown: Shown::default(),
         }
     }
 
@@ -217,6 +250,46 @@
         }
     }
 
+    fn set_reach(&mut self, to: Reach) {
+        if self.reach != to {
+            log::debug!("machine {} {:?} -> {:?}", self.id, self.reach, to);
+            self.reach = to;
+        }
+    }
+
+    /// Something we sent had its effect.
+    pub fn reached(&mut self) {
+        self.set_reach(Reach::Fine);
+    }
+
+    /// What we sent had no effect, so many times more.
+    pub fn missed(&mut self, now: Ms, n: u32) {
+        let misses = match self.reach {
+            Reach::Fine => n,
+            Reach::Doubtful { misses } => misses + n,
+            Reach::Deaf { .. } => return,
+        };
+        if misses >= k::DEAF_MISSES {
+            log::warn!("machine {} is heard but does not hear us", self.id);
+            self.set_reach(Reach::Deaf { since: now });
+        } else {
+            self.set_reach(Reach::Doubtful { misses });
+        }
+    }
+
+    pub fn deaf(&self) -> bool {
+        matches!(self.reach, Reach::Deaf { .. })
+    }
+
+    /// Good for new tasks: nearly all we sent lately had its effect.
+    pub fn trusted(&self) -> bool {
+        match self.reach {
+            Reach::Fine => true,
+            Reach::Doubtful { misses } => misses < k::DEAF_MISSES - 1,
+            Reach::Deaf { .. } => false,
+        }
+    }
+
     pub fn used(&self) -> (f64, f64, f64) {
         self.placements
             .iter()
@@ -279,43 +352,387 @@
         }
     }
 
+    /// Something waits to be sent to it, time aside.
+    fn wants_commands(&self) -> bool {
+        self.placements.iter().any(|p| match p.phase {
+            Phase::Ready => p.stop.is_none(),
+            Phase::Fetching | Phase::Running => p.stop.is_some(),
+            _ => false,
+        })
+    }
+
     pub fn quiet(&self, now: Ms, report_s: f64) -> bool {
         match self.heard {
             Some(at) => now.saturating_sub(at) as f64 > report_s * k::QUIET_PERIODS * 1e3,
             None => true,
         }
     }
+}
+
+// ---- All machines --------------------------------------------------------------------------
+
+/// One placement or held task, as far as the sums go.
+#[derive(Clone, Debug, PartialEq)]
+struct Entry {
+    job: String,
+    index: u32,
+    held: bool,
+    present: bool,
+    running: bool,
+    /// Millionths, so that sums stay exact.
+    cpus: i64,
+    gpus: i64,
+    team: String,
+}
+
+fn micro(x: f64) -> i64 {
+    (x * 1e6).round() as i64
+}
+
+/// What the sums hold of one machine.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Shown {
+    entries: Vec<Entry>,
+    zone: String,
+    commands: bool,
+    deleting: bool,
+}
 
-    pub fn record(&self) -> MachineRecord {
-        let tasks = self.placements.iter().filter(|p| p.present());
-        MachineRecord {
-            machine_type: self.kind.clone(),
-            zone: self.zone.clone(),
-            spot: self.spot,
-            addr: self.addr.clone(),
-            tasks: tasks
-                .map(|p| PlacedRecord {
-                    task: p.task(),
-                    attempt: p.attempt,
-                    cpus: p.cpus,
-                    gpus: p.gpus,
-                    mem: p.memory,
-                    team: p.team.clone(),
-                })
-                .collect(),
+impl Shown {
+    fn of(m: &Machine) -> Shown {
+        let placed = m.placements.iter().map(|p| Entry {
+            job: p.job.clone(),
+            index: p.index,
+            held: false,
+            present: p.present(),
+            running: matches!(p.phase, Phase::Running | Phase::Saving),
+            cpus: micro(p.cpus),
+            gpus: micro(p.gpus),
+            team: p.team.clone(),
+        });
+        let held = m.held.iter().map(|(job, index)| Entry {
+            job: job.clone(),
+            index: *index,
+            held: true,
+            present: false,
+            running: false,
+            cpus: 0,
+            gpus: 0,
+            team: String::new(),
+        });
+        Shown {
+            entries: placed.chain(held).collect(),
+            zone: m.zone.clone(),
+            commands: m.wants_commands(),
+            deleting: m.life == Life::Deleting,
         }
     }
 
-    /// Bytes of JSON that the record takes, on the safe side, with one more task of this team.
-    pub fn record_bytes(&self, team: &str) -> usize {
-        let each = |t: &str| 140 + t.len();
-        let sum: usize = self
-            .placements
-            .iter()
-            .filter(|p| p.present())
-            .map(|p| each(&p.team))
-            .sum();
-        300 + sum + each(team)
+    /// Whether the sums are right as they are; looks without copying.
+    fn fits(&self, m: &Machine) -> bool {
+        self.entries.len() == m.placements.len() + m.held.len()
+            && self.zone == m.zone
+            && self.commands == m.wants_commands()
+            && self.deleting == (m.life == Life::Deleting)
+            && self.entries.iter().zip(&m.placements).all(|(e, p)| {
+                !e.held
+                    && e.index == p.index
+                    && e.present == p.present()
+                    && e.running == matches!(p.phase, Phase::Running | Phase::Saving)
+                    && e.job == p.job
+                    && e.cpus == micro(p.cpus)
+            })
+            && self.entries[m.placements.len()..]
+                .iter()
+                .zip(&m.held)
+                .all(|(e, (job, index))| e.held && e.index == *index && e.job == *job)
+    }
+}
+
+/// What is known of a job over all machines.
+#[derive(Clone, Debug, Default)]
+pub struct JobUse {
+    /// On how many machines each task may be.
+    present: HashMap<u32, u32>,
+    held: HashMap<u32, u32>,
+    pub running: u32,
+    /// Placements of any phase and held tasks, by machine.
+    machines: BTreeMap<String, u32>,
+    /// Tasks that may be on machines, by zone.
+    zones: BTreeMap<String, u32>,
+}
+
+/// Sums over the placements of all machines, so that nothing has to look at all of them.
+#[derive(Debug, Default)]
+struct Sums {
+    teams: HashMap<String, (i64, i64)>,
+    jobs: HashMap<String, JobUse>,
+    commands: BTreeSet<String>,
+    deleting: BTreeSet<String>,
+    /// Jobs whose count of running tasks changed since it was last told.
+    counted: BTreeSet<String>,
+}
+
+impl Sums {
+    fn add(&mut self, id: &str, shown: &Shown, sign: i64) {
+        let up = sign > 0;
+        let step = |n: &mut u32| *n = if up { *n + 1 } else { n.saturating_sub(1) };
+        for e in &shown.entries {
+            if !self.jobs.contains_key(&e.job) {
+                self.jobs.insert(e.job.clone(), JobUse::default());
+            }
+            let Some(j) = self.jobs.get_mut(&e.job) else {
+                continue;
+            };
+            let here = j.machines.entry(id.to_owned()).or_default();
+            step(here);
+            if *here == 0 {
+                j.machines.remove(id);
+            }
+            if e.held {
+                let n = j.held.entry(e.index).or_default();
+                step(n);
+                if *n == 0 {
+                    j.held.remove(&e.index);
+                }
+            }
+            if e.present {
+                let n = j.present.entry(e.index).or_default();
+                step(n);
+                if *n == 0 {
+                    j.present.remove(&e.index);
+                }
+                step(j.zones.entry(shown.zone.clone()).or_default());
+                let t = self.teams.entry(e.team.clone()).or_default();
+                t.0 += sign * e.cpus;
+                t.1 += sign * e.gpus;
+            }
+            if e.running {
+                step(&mut j.running);
+                self.counted.insert(e.job.clone());
+            }
+            if j.machines.is_empty() {
+                self.jobs.remove(&e.job);
+            }
+        }
+        for (set, on) in [
+            (&mut self.commands, shown.commands),
+            (&mut self.deleting, shown.deleting),
+        ] {
+            if on && up {
+                set.insert(id.to_owned());
+            } else if on {
+                set.remove(id);
+            }
+        }
+    }
+
+    fn update(&mut self, m: &mut Machine) {
+        if m.shown.fits(m) {
+            return;
+        }
+        let new = Shown::of(m);
+        self.add(&m.id, &new, 1);
+        self.add(&m.id, &m.shown, -1);
+        // Flags that stay on went off with the old entry.
+        if new.commands {
+            self.commands.insert(m.id.clone());
+        }
+        if new.deleting {
+            self.deleting.insert(m.id.clone());
+        }
+        m.shown = new;
+    }
+}
+
+/// All machines by name. Whoever changes one does so through `edit`, and the sums follow.
+#[derive(Debug, Default)]
+pub struct Machines {
+    map: BTreeMap<String, Machine>,
+    sums: Sums,
+}
+
+/// A machine being changed; when it goes, the sums are made right.
+pub struct Edit<'a> {
+    m: &'a mut Machine,
+    sums: &'a mut Sums,
+}
+
+impl Deref for Edit<'_> {
+    type Target = Machine;
+    fn deref(&self) -> &Machine {
+        self.m
+    }
+}
+
+impl DerefMut for Edit<'_> {
+    fn deref_mut(&mut self) -> &mut Machine {
+        self.m
+    }
+}
+
+impl Drop for Edit<'_> {
+    fn drop(&mut self) {
+        self.sums.update(self.m);
+    }
+}
+
+impl Machines {
+    pub fn get(&self, id: &str) -> Option<&Machine> {
+        self.map.get(id)
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &Machine> {
+        self.map.values()
+    }
+
+    pub fn len(&self) -> usize {
+        self.map.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.map.is_empty()
+    }
+
+    pub fn edit(&mut self, id: &str) -> Option<Edit<'_>> {
+        let m = self.map.get_mut(id)?;
+        let sums = &mut self.sums;
+        Some(Edit { m, sums })
+    }
+
+    /// Changes each machine in turn.
+    pub fn edit_all(&mut self, mut change: impl FnMut(&mut Machine)) {
+        for m in self.map.values_mut() {
+            change(m);
+            self.sums.update(m);
+        }
+    }
+
+    /// Puts a machine in, unless it is known.
+    pub fn add(&mut self, id: &str, new: impl FnOnce() -> Machine) {
+        if !self.map.contains_key(id) {
+            self.map.insert(id.to_owned(), new());
+            // Its tasks count from now on.
+            drop(self.edit(id));
+        }
+    }
+
+    pub fn remove(&mut self, id: &str) {
+        if let Some(m) = self.map.remove(id) {
+            self.sums.add(id, &m.shown, -1);
+        }
+    }
+
+    /// What a team's tasks take, over all that is not proven gone: CPUs and cards.
+    pub fn team(&self, team: &str) -> (f64, f64) {
+        let (c, g) = self.sums.teams.get(team).copied().unwrap_or_default();
+        (c as f64 / 1e6, g as f64 / 1e6)
+    }
+
+    /// Whether the task may be on some machine.
+    pub fn is_present(&self, job: &str, index: u32) -> bool {
+        let j = self.sums.jobs.get(job);
+        j.is_some_and(|j| j.present.contains_key(&index))
+    }
+
+    /// Whether the task waits in a machine's queue.
+    pub fn is_held(&self, job: &str, index: u32) -> bool {
+        let j = self.sums.jobs.get(job);
+        j.is_some_and(|j| j.held.contains_key(&index))
+    }
+
+    pub fn held_of(&self, job: &str) -> usize {
+        self.sums.jobs.get(job).map_or(0, |j| j.held.len())
+    }
+
+    pub fn running_of(&self, job: &str) -> u32 {
+        self.sums.jobs.get(job).map_or(0, |j| j.running)
+    }
+
+    /// Tasks of a job that may be on machines.
+    pub fn present_of(&self, job: &str) -> impl Iterator<Item = u32> + '_ {
+        let j = self.sums.jobs.get(job);
+        j.into_iter().flat_map(|j| j.present.keys().copied())
+    }
+
+    /// Machines with any placement or held task of the job.
+    pub fn of_job(&self, job: &str) -> Vec<String> {
+        let j = self.sums.jobs.get(job);
+        j.map_or(vec![], |j| j.machines.keys().cloned().collect())
+    }
+
+    /// Tasks of the job that may be in that zone, and elsewhere.
+    pub fn zones_of(&self, job: &str, zone: &str) -> (u32, u32) {
+        let Some(j) = self.sums.jobs.get(job) else {
+            return (0, 0);
+        };
+        let here = j.zones.get(zone).copied().unwrap_or(0);
+        (here, j.zones.values().sum::<u32>() - here)
+    }
+
+    /// Machines that have something to be commanded.
+    pub fn with_commands(&self) -> impl Iterator<Item = &Machine> {
+        self.sums.commands.iter().filter_map(|id| self.map.get(id))
+    }
+
+    pub fn deleting(&self) -> impl Iterator<Item = &Machine> {
+        self.sums.deleting.iter().filter_map(|id| self.map.get(id))
+    }
+
+    /// Jobs whose running tasks changed in number since this was last asked.
+    pub fn take_counted(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.sums.counted)
+    }
+
+    /// The sums, added up anew, for tests.
+    #[cfg(test)]
+    fn recount(&self) -> Sums {
+        let mut sums = Sums::default();
+        for m in self.map.values() {
+            sums.add(&m.id, &Shown::of(m), 1);
+        }
+        sums
+    }
+}
+
+/// The record that tells of a group of machines.
+#[derive(Clone, Debug)]
+pub struct Shard {
+    pub stored: Stored,
+    pub machines: BTreeSet<String>,
+    /// Bytes of JSON it takes at most, and the jobs counted in them.
+    pub bytes: usize,
+    pub jobs: HashSet<String>,
+    /// Urgent work waits for its write.
+    pub urgent: bool,
+}
+
+impl Shard {
+    pub fn new(stored: Stored) -> Shard {
+        Shard {
+            stored,
+            machines: BTreeSet::new(),
+            bytes: k::SHARD_HEAD_BYTES,
+            jobs: HashSet::new(),
+            urgent: false,
+        }
+    }
+
+    pub fn due(&self) -> bool {
+        self.stored.dirty || self.stored.stale
+    }
+
+    /// One more task of the job goes in.
+    pub fn add(&mut self, job: &str) {
+        self.bytes += self.more(job);
+        self.jobs.insert(job.to_owned());
+        self.stored.dirty = true;
+    }
+
+    /// Bytes that one more task of the job takes at most.
+    pub fn more(&self, job: &str) -> usize {
+        let new = !self.jobs.contains(job);
+        k::SHARD_TASK_BYTES + if new { k::SHARD_JOB_BYTES } else { 0 }
     }
 }
 
@@ -323,6 +740,14 @@
 #[derive(Clone, Debug)]
 pub struct Chunk {
     pub stored: Stored,
+    /// Since when it has to be written.
+    pub since: Ms,
+}
+
+impl Chunk {
+    pub fn new(stored: Stored) -> Chunk {
+        Chunk { stored, since: 0 }
+    }
 }
 
 /// An accepted job that has not ended.
@@ -331,10 +756,10 @@
     pub spec: JobSpec,
     /// Time of day of the submission, ms.
     pub at: u64,
-    /// Waiting tasks, in the order they are to start.
-    pub pending: VecDeque<u32>,
+    /// Waiting tasks; the lowest number starts first.
+    pub pending: BTreeSet<u32>,
     /// Of the waiting tasks, those dropped by the pruner: they run in leftover room.
-    pub dropped: HashSet<u32>,
+    pub dropped: BTreeSet<u32>,
     pub done: Bitmap,
     pub done_count: u32,
     pub chunks: BTreeMap<u32, Chunk>,
@@ -345,6 +770,8 @@
     pub failures: u32,
     pub retry_at: Ms,
     pub missed: bool,
+    /// The machine where lesser work is being stopped for it, and until when that is believed.
+    pub making_room: Option<(String, Ms)>,
 }
 
 impl Work {
@@ -353,7 +780,7 @@
             pending: (0..spec.tasks).collect(),
             spec,
             at,
-            dropped: HashSet::new(),
+            dropped: BTreeSet::new(),
             done: Bitmap::default(),
             done_count: 0,
             chunks: BTreeMap::new(),
@@ -362,9 +789,14 @@
             failures: 0,
             retry_at: 0,
             missed: false,
+            making_room: None,
         }
     }
 
+    pub fn making_room(&self, now: Ms) -> Option<&(String, Ms)> {
+        self.making_room.as_ref().filter(|(_, until)| now < *until)
+    }
+
     /// Seconds from `wall_ms` to the deadline; negative when late.
     pub fn due_s(&self, wall_ms: u64) -> Option<f64> {
         let due = self.spec.deadline_s?;
@@ -377,31 +809,80 @@
 
     /// Takes a waiting task out, by number.
     pub fn take(&mut self, index: u32) -> bool {
-        match self.pending.iter().position(|p| *p == index) {
-            Some(at) => {
-                self.pending.remove(at);
-                true
-            }
-            None => false,
-        }
+        self.pending.remove(&index)
     }
 
     pub fn give_back(&mut self, index: u32) {
-        if !self.done.get(index) && !self.pending.contains(&index) {
-            self.pending.push_front(index);
+        if !self.done.get(index) {
+            self.pending.insert(index);
         }
     }
+
+    /// Waiting tasks that the pruner has not dropped.
+    pub fn fresh(&self) -> usize {
+        self.pending.len() - self.pending.intersection(&self.dropped).count()
+    }
+
+    pub fn next_fresh(&self) -> Option<u32> {
+        let mut fresh = self.pending.iter().filter(|n| !self.dropped.contains(n));
+        fresh.next().copied()
+    }
+
+    pub fn next_dropped(&self) -> Option<u32> {
+        let mut dropped = self.dropped.iter().filter(|n| self.pending.contains(n));
+        dropped.next().copied()
+    }
 }
 
-/// Room and limits of a team, counted over all that is not proven gone.
-pub fn team_usage(machines: &BTreeMap<String, Machine>) -> HashMap<String, (f64, f64)> {
-    let mut out: HashMap<String, (f64, f64)> = HashMap::new();
-    for p in machines.values().flat_map(|m| &m.placements) {
-        if p.present() {
-            let u = out.entry(p.team.clone()).or_default();
-            u.0 += p.cpus;
-            u.1 += p.gpus;
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{rngs::SmallRng, Rng, SeedableRng};
+
+    /// Sums that drift from what they sum up would break limits or start tasks twice.
+    #[test]
+    fn the_sums_follow_every_change() {
+        let mut rng = SmallRng::seed_from_u64(5);
+        let mut all = Machines::default();
+        for n in 0..2_000u64 {
+            let id = format!("host-{}", rng.random_range(0..6));
+            all.add(&id, || Machine::new(&id, "small", "a", false, 0));
+            let (job, index) = (format!("run-{}", n % 5), rng.random_range(0..9));
+            match rng.random_range(0..8) {
+                0 => all.remove(&id),
+                1 => all.edit(&id).unwrap().held = vec![(job, index), ("run-1".into(), 7)],
+                2 => all.edit(&id).unwrap().held.clear(),
+                3 => all.edit(&id).unwrap().zone = "b".into(),
+                4 => all.edit(&id).unwrap().set_life(Life::Deleting),
+                5 => all.edit_all(|m| {
+                    for p in m.placements.iter_mut().skip(2) {
+                        p.stop = Some(0.0);
+                        p.set_phase(Phase::Running);
+                    }
+                }),
+                6 => drop(all.edit(&id).map(|mut m| m.placements.pop())),
+                _ => {
+                    let mut m = all.edit(&id).unwrap();
+                    let mut p = Placement::new(&job, index, n, Phase::Ready);
+                    (p.cpus, p.team) = (0.1 * index as f64, "red".into());
+                    m.placements.push(p);
+                }
+            }
+            let right = all.recount();
+            let team = |s: &Sums| s.teams.get("red").copied().unwrap_or_default();
+            assert_eq!(team(&all.sums), team(&right));
+            assert_eq!(all.sums.commands, right.commands);
+            assert_eq!(all.sums.deleting, right.deleting);
+            assert_eq!(all.sums.jobs.len(), right.jobs.len());
+            for (job, j) in &all.sums.jobs {
+                let r = &right.jobs[job];
+                assert_eq!((&j.present, &j.held), (&r.present, &r.held));
+                assert_eq!((j.running, &j.machines), (r.running, &r.machines));
+                assert_eq!(
+                    all.zones_of(job, "b").0,
+                    r.zones.get("b").copied().unwrap_or(0)
+                );
+            }
         }
     }
-    out
 }
--- a/crates/control/src/node/elect.rs
+++ b/crates/control/src/node/elect.rs
@@ -54,6 +54,9 @@
         }
         log::info!("role {:?} -> {:?}", self.role, to);
         let led = self.role == Role::Leading;
+        for p in &mut self.peers {
+            p.counted = false;
+        }
         self.role = to;
         if led || self.role == Role::Leading {
             self.share_budgets();
@@ -155,7 +158,13 @@
         };
         log::info!("leading in term {term}");
         self.higher_term = self.higher_term.max(term);
-        self.leader = Some(Box::new(Leader::new(term, lease, self.now.ms, catalog)));
+        self.leader = Some(Box::new(Leader::new(
+            term,
+            lease,
+            self.now.ms,
+            catalog,
+            &self.set,
+        )));
         self.set_role(Role::Leading);
     }
 
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use stonegw_constants as k;
-use stonegw_wire::frame::{self, Frame, Hello};
+use stonegw_wire::frame::{self, Counts, Frame, Hello};
 use stonegw_wire::http::Request;
 use stonegw_wire::msg::{
     decode, encode, json_len, Catalog, Changes, Command, Condition, ErrorBody, JobKind, JobPhase,
@@ -137,6 +137,8 @@
     up: bool,
     heard: Ms,
     state_ok: bool,
+    /// Has been told the counts of all jobs over this link.
+    counted: bool,
 }
 
 pub struct Node {
@@ -257,9 +259,19 @@
             .set_rate(w, w.max(self.set.txn_ops as f64).max(1.0));
     }
 
-    /// The one entry: an event at a time.
-    pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
+    /// The one entry: what happened, all that came together. What goes on by itself is looked
+    /// at once for all of it.
+    pub fn handle(&mut self, now: Now, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
         self.now = now;
+        for event in events {
+            self.take(event);
+        }
+        self.advance();
+        std::mem::take(&mut self.out.actions)
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.now;
         match event {
             Event::Start => {
                 self.state_ok_at = now.ms;
@@ -271,13 +283,12 @@
             Event::LinkUp(Link::Out(i)) => {
                 self.peers[i].up = true;
                 self.peers[i].heard = now.ms;
+                self.peers[i].counted = false;
                 self.hello(Link::Out(i));
             }
             Event::LinkDown(Link::Out(i)) => self.peers[i].up = false,
             Event::LinkUp(Link::In(_)) | Event::LinkDown(Link::In(_)) => {}
         }
-        self.advance();
-        std::mem::take(&mut self.out.actions)
     }
 
     // ---- What goes on by itself ---------------------------------------------------------
@@ -321,6 +332,11 @@
             }
         }
         self.run_leader(|leader, ctx| leader.advance(ctx));
+        if self.leader.is_none() {
+            // Only a leader has use for them.
+            self.replica.changed.clear();
+            self.replica.far.clear();
+        }
     }
 
     /// Lets the leader act, if there is one, on its own calls and our budgets.
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -197,14 +197,25 @@
         });
     }
 
+    /// Tells the others what changed, and all to those that know nothing yet.
     pub(super) fn send_counts(&mut self) {
-        let Some(l) = &self.leader else { return };
-        let list = l.all_counts();
-        for (i, p) in self.peers.iter().enumerate() {
-            if p.up {
+        let Some(l) = &mut self.leader else { return };
+        let changed = l.changed_counts();
+        let mut all = None;
+        for (i, p) in self.peers.iter_mut().enumerate() {
+            if !p.up {
+                continue;
+            }
+            let list = if p.counted {
+                &changed
+            } else {
+                p.counted = true;
+                all.get_or_insert_with(|| l.all_counts())
+            };
+            for part in list.chunks(frame::MAX_FRAME / size_of::<Counts>()) {
                 self.out.actions.push(Action::Send {
                     to: Link::Out(i),
-                    frame: Frame::Counts(list.clone()),
+                    frame: Frame::Counts(part.to_vec()),
                 });
             }
         }
@@ -262,13 +273,15 @@
                 }
             }
             Frame::Counts(list) => {
-                self.counts = list
-                    .iter()
-                    .map(|c| {
-                        let job = frame::text(&c.job).to_owned();
-                        (job, (c.done.get(), c.running.get()))
-                    })
-                    .collect();
+                for c in list {
+                    let job = frame::text(&c.job).to_owned();
+                    // What has ended is told from its record.
+                    if self.replica.end_of(&job).is_some() {
+                        self.counts.remove(&job);
+                    } else {
+                        self.counts.insert(job, (c.done.get(), c.running.get()));
+                    }
+                }
             }
         }
     }
--- a/crates/control/src/records.rs
+++ b/crates/control/src/records.rs
@@ -6,7 +6,7 @@
 //! | `c/j/<job>` | any node | the submission and how it ended |
 //! | `c/r/<machine>` | a node that can't reach the leader | the machine's report, handed on |
 //! | `d/<job>/<chunk>` | the leader | finished tasks of one chunk, as a bitmap |
-//! | `m/<machine>` | the leader | what may be on that machine |
+//! | `m/<number>` | the leader | what may be on a group of machines |
 use base64::{engine::general_purpose::STANDARD_NO_PAD, Engine};
 use serde::{Deserialize, Serialize};
 use stonegw_wire::msg::{JobSpec, Report};
@@ -27,8 +27,8 @@
 pub fn far_key(machine: &str) -> String {
     format!("{FAR}{machine}")
 }
-pub fn machine_key(machine: &str) -> String {
-    format!("{MACHINES}{machine}")
+pub fn shard_key(shard: u32) -> String {
+    format!("{MACHINES}{shard}")
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -111,28 +111,33 @@
     pub run_s: f64,
 }
 
-/// One task that may be on the machine. Self-contained, so that a new leader can count it
-/// whatever became of its job.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PlacedRecord {
-    pub task: String,
-    pub attempt: u64,
-    pub cpus: f64,
-    pub gpus: f64,
-    pub mem: f64,
-    pub team: String,
+/// What may be on a group of machines: one record for many, since changes a second are scarce.
+/// Self-contained, so that a new leader can count it whatever became of the jobs. Rows instead
+/// of named fields keep it short.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ShardRecord {
+    pub teams: Vec<String>,
+    pub jobs: Vec<JobRow>,
+    pub machines: Vec<MachineRow>,
 }
 
+/// Job, its team's place in `teams`, and what a task takes: CPUs, cards, GB.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct MachineRecord {
-    #[serde(rename = "type")]
-    pub machine_type: String,
-    pub zone: String,
-    pub spot: bool,
-    #[serde(default)]
-    pub addr: Option<String>,
-    pub tasks: Vec<PlacedRecord>,
-}
+pub struct JobRow(pub String, pub usize, pub f64, pub f64, pub f64);
+
+/// Machine, type, zone, whether it is spot, and its tasks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRow(
+    pub String,
+    pub String,
+    pub String,
+    pub bool,
+    pub Vec<TaskRow>,
+);
+
+/// The job's place in `jobs`, the task's number, the attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TaskRow(pub usize, pub u32, pub u64);
 
 /// Anything the leader writes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -140,7 +145,7 @@
 pub enum Value {
     Leader(LeaderRecord),
     Job(Box<JobRecord>),
-    Machine(MachineRecord),
+    Shard(ShardRecord),
     Done(DoneRecord),
     Far(Box<FarRecord>),
 }
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -4,12 +4,12 @@
 //! on. Everything else fills leftover room first fit.
 use crate::api::Ms;
 use crate::leader::{immediate, zone_allows, Ctx, Leader};
-use crate::ledger::{team_usage, Life, Machine, Phase, Work};
+use crate::ledger::{Life, Machine, Phase, Work};
 use crate::records::Seen;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{HashMap, HashSet};
 use stonegw_constants as k;
 use stonegw_sched::curve::Curve;
-use stonegw_sched::pam::{soonest, Offer, Queue, Slot};
+use stonegw_sched::pam::{soonest, Offer, Queue, Slot, Start};
 use stonegw_sched::pruner::{Pruner, Toggle};
 use stonegw_sched::runtimes::RunTimes;
 use stonegw_wire::msg::{JobKind, JobSpec, Priority};
@@ -22,25 +22,32 @@
     place_at: Ms,
     /// Runs per job: how many and their sum in s, over all types.
     observed: HashMap<String, (u32, f64)>,
+    /// Jobs that waited too long, and the machine whose room is kept for each.
+    kept: HashMap<String, Option<String>>,
     /// Per class: how many jobs ended, and the sum of the logarithms of run over estimate.
     ratios: HashMap<String, (f64, f64)>,
 }
 
 impl Scheduler {
     pub fn runs(&mut self, spec: &JobSpec, kind: &str) -> &mut RunTimes {
-        let scale = self.scale(&spec.class);
-        let seen = self.observed.get(&spec.id).copied();
-        let per_type = self.runs.entry(spec.id.clone()).or_default();
-        if !per_type.contains_key(kind) {
+        let known = self
+            .runs
+            .get(&spec.id)
+            .is_some_and(|t| t.contains_key(kind));
+        if !known {
+            let scale = self.scale(&spec.class);
             let mut runs = RunTimes::seeded(spec.estimate_s, scale);
             // What an earlier leader saw counts as much as a few runs of our own.
+            let seen = self.observed.get(&spec.id).copied();
             if let Some((n, sum)) = seen.filter(|s| s.0 > 0) {
                 for _ in 0..n.min(k::INHERITED_RUNS) {
                     runs.record(sum / f64::from(n));
                 }
             }
+            let per_type = self.runs.entry(spec.id.clone()).or_default();
             per_type.insert(kind.into(), runs);
         }
+        let per_type = self.runs.get_mut(&spec.id).expect("just inserted");
         per_type.get_mut(kind).expect("just inserted")
     }
 
@@ -95,62 +102,110 @@
     }
 
     /// The mean run time over the types seen so far, or the estimate.
-    pub fn mean_s(&self, spec: &JobSpec) -> f64 {
+    pub fn mean_s(&mut self, spec: &JobSpec) -> f64 {
         let guess = spec.estimate_s * self.scale(&spec.class);
-        let Some(per_type) = self.runs.get(&spec.id) else {
+        let Some(per_type) = self.runs.get_mut(&spec.id) else {
             return guess;
         };
-        let best = per_type.values().max_by_key(|r| r.observed);
+        let best = per_type.values_mut().max_by_key(|r| r.observed);
         best.map_or(guess, RunTimes::mean_s)
     }
 }
 
-/// How much each team may still take.
-struct Teams<'a> {
-    ctx: &'a crate::settings::Settings,
-    used: HashMap<String, (f64, f64)>,
+type Rank = (Priority, bool);
+
+/// What a task takes and where it may go, as far as that says whether there is room for it:
+/// jobs alike in this find room or none alike.
+#[derive(PartialEq)]
+struct Shape {
+    size: (f64, f64, f64),
+    types: Option<Vec<String>>,
+    zone: Option<String>,
+    spot: bool,
 }
 
-impl Teams<'_> {
-    fn allows(&self, spec: &JobSpec) -> bool {
-        let Some(t) = self.ctx.team(&spec.team) else {
-            return false;
-        };
-        let (c, g) = self.used.get(&spec.team).copied().unwrap_or_default();
-        c + spec.cpus <= t.cpus_max + k::EPSILON && g + spec.gpus <= t.gpus_max + k::EPSILON
+impl Shape {
+    /// `None`: more than this decides.
+    fn of(w: &Work) -> Option<Shape> {
+        let s = &w.spec;
+        (!s.one_zone && !s.spread && w.bad.is_empty()).then(|| Shape {
+            size: (s.cpus, s.gpus, s.memory_gb),
+            types: s.types.clone(),
+            zone: s.zone.clone(),
+            spot: s.spot,
+        })
     }
+}
 
-    fn within_guarantee(&self, spec: &JobSpec) -> bool {
-        let Some(t) = self.ctx.team(&spec.team) else {
-            return false;
-        };
-        let (c, g) = self.used.get(&spec.team).copied().unwrap_or_default();
-        c + spec.cpus <= t.cpus + k::EPSILON && g + spec.gpus <= t.gpus + k::EPSILON
-    }
+/// Room that is being made on machines, by machine.
+type Claims = HashMap<String, (f64, f64, f64)>;
 
-    fn take(&mut self, spec: &JobSpec) {
-        let u = self.used.entry(spec.team.clone()).or_default();
-        u.0 += spec.cpus;
-        u.1 += spec.gpus;
-    }
+fn claim(claims: &mut Claims, machine: &str, spec: &JobSpec) {
+    let c = claims.entry(machine.to_owned()).or_default();
+    *c = (c.0 + spec.cpus, c.1 + spec.gpus, c.2 + spec.memory_gb);
 }
 
-type Rank = (Priority, bool);
+/// Run times of one job on one machine type, as a mapping uses them.
+struct Runs {
+    run: Curve,
+    cumulative: Curve,
+    mean: f64,
+}
+
+/// A machine as one mapping sees it.
+struct Seat {
+    id: String,
+    /// Its type's place in the catalogue.
+    kind: usize,
+    price: f64,
+    queue: Queue,
+    /// Grows with every task put here: offers made before are out of date.
+    changes: u32,
+}
+
+/// A job with waiting tasks, standing for each of them.
+struct Candidate {
+    job: String,
+    spec: JobSpec,
+    due: f64,
+    left: usize,
+    rank: Rank,
+    /// By machine type.
+    runs: Vec<Option<Runs>>,
+    best: Option<Best>,
+}
+
+#[derive(Clone, Copy)]
+struct Best {
+    seat: usize,
+    /// The seat's changes when the offer was made.
+    at: u32,
+    offer: Offer,
+}
 
 impl Leader {
-    /// Whether a task of this job may go to that machine, room aside.
-    fn usable(&self, ctx: &Ctx, m: &Machine, w: &Work) -> bool {
-        let spec = &w.spec;
+    /// Whether a machine takes new tasks at all.
+    fn open(&self, ctx: &Ctx, m: &Machine) -> bool {
         m.life == Life::Up
             && !m.quiet(ctx.now.ms, ctx.set.report_s)
             && m.under_token
             && !m.far
-            && (!m.spot || spec.spot)
-            && spec.types.as_ref().is_none_or(|t| t.contains(&m.kind))
+            && m.trusted()
             && ctx.now.ms >= m.full_until
+    }
+
+    /// Whether a task of this job may go to that machine, which is open, room aside.
+    fn suits(&self, m: &Machine, w: &Work) -> bool {
+        let spec = &w.spec;
+        (!m.spot || spec.spot)
+            && spec.types.as_ref().is_none_or(|t| t.contains(&m.kind))
             && !w.bad.contains(&m.id)
-            && m.record_bytes(&spec.team) < ctx.set.value_bytes
             && zone_allows(&self.machines, w, &m.zone)
+            && self.shard_of(m, &spec.id, false).is_some()
+    }
+
+    fn usable(&self, ctx: &Ctx, m: &Machine, w: &Work) -> bool {
+        self.open(ctx, m) && self.suits(m, w)
     }
 
     fn room(&self, m: &Machine, spec: &JobSpec) -> bool {
@@ -163,11 +218,24 @@
             && mem + k::EPSILON >= spec.memory_gb
     }
 
-    fn teams<'a>(&self, ctx: &Ctx<'a>) -> Teams<'a> {
-        Teams {
-            ctx: ctx.set,
-            used: team_usage(&self.machines),
-        }
+    /// Whether the team's limit leaves room for one more task, besides `extra` CPUs and cards.
+    fn allows(&self, ctx: &Ctx, spec: &JobSpec, extra: (f64, f64)) -> bool {
+        let Some(t) = ctx.set.team(&spec.team) else {
+            return false;
+        };
+        let (c, g) = self.machines.team(&spec.team);
+        c + extra.0 + spec.cpus <= t.cpus_max + k::EPSILON
+            && g + extra.1 + spec.gpus <= t.gpus_max + k::EPSILON
+    }
+
+    /// Whether one more task stays within the team's guarantee.
+    fn guaranteed(&self, ctx: &Ctx, spec: &JobSpec, extra: (f64, f64)) -> bool {
+        let Some(t) = ctx.set.team(&spec.team) else {
+            return false;
+        };
+        let (c, g) = self.machines.team(&spec.team);
+        c + extra.0 + spec.cpus <= t.cpus + k::EPSILON
+            && g + extra.1 + spec.gpus <= t.gpus + k::EPSILON
     }
 
     pub fn schedule(&mut self, ctx: &mut Ctx) {
@@ -175,14 +243,20 @@
         if self.wake && now >= self.sched.place_at {
             self.sched.place_at = now + k::PLACE_MS;
             self.wake = false;
-            let ids: Vec<String> = self.machines.keys().cloned().collect();
             self.place_now(ctx, true);
-            for id in ids {
+            let holding: Vec<String> = self
+                .machines
+                .values()
+                .filter(|m| !m.held.is_empty())
+                .map(|m| m.id.clone())
+                .collect();
+            for id in holding {
                 self.promote(ctx, &id);
             }
         }
         if now >= self.sched.map_at {
             self.sched.map_at = now + ctx.set.tuning.map_ms;
+            self.begin_overdue(ctx);
             self.map(ctx);
             self.place_now(ctx, false);
             self.reclaim(ctx);
@@ -198,24 +272,142 @@
             let Some((job, index)) = m.held.first().cloned() else {
                 return;
             };
-            let Some(w) = self.works.get(&job) else {
-                self.machines.get_mut(id).expect("seen").held.remove(0);
-                continue;
+            let start = match self.works.get(&job) {
+                Some(w) => {
+                    if !self.room(m, &w.spec)
+                        || !self.usable(ctx, m, w)
+                        || !self.allows(ctx, &w.spec, (0.0, 0.0))
+                        || self.is_kept(id, &job)
+                    {
+                        return;
+                    }
+                    true
+                }
+                None => false,
             };
-            if !self.room(m, &w.spec) || !self.usable(ctx, m, w) || !self.teams(ctx).allows(&w.spec)
-            {
+            if let Some(mut m) = self.machines.edit(id) {
+                m.held.remove(0);
+            }
+            if start && !self.place(id, &job, index) {
+                self.back(&job, index);
                 return;
             }
-            self.machines.get_mut(id).expect("seen").held.remove(0);
-            self.place(id, &job, index);
         }
     }
 
+    /// Whether a machine's room is kept for another job.
+    fn is_kept(&self, machine: &str, job: &str) -> bool {
+        let mut kept = self.sched.kept.iter();
+        kept.any(|(j, m)| j != job && m.as_deref() == Some(machine))
+    }
+
+    /// Work that has waited for long without beginning goes before all but urgent work, so that
+    /// neither its size nor a missed deadline lets it starve: it takes the room there is, and
+    /// where there is none that fits, one machine's room is kept for it until it does. The
+    /// exception ends when a part of its tasks has begun.
+    fn begin_overdue(&mut self, ctx: &Ctx) {
+        let mut waiting: Vec<(u64, String)> = self
+            .works
+            .iter()
+            .filter(|(_, w)| !w.pending.is_empty() && !w.ending && ctx.now.ms >= w.retry_at)
+            .filter(|(id, w)| {
+                let age = ctx.now.wall_ms.saturating_sub(w.at);
+                let begun = w.done_count as usize + self.machines.present_of(id).count();
+                let part = (w.spec.tasks as usize).div_ceil(k::OVERDUE_PART);
+                age >= k::OVERDUE_MS && begun < part
+            })
+            .map(|(id, w)| (w.at, id.clone()))
+            .collect();
+        waiting.sort();
+        let names: HashSet<&str> = waiting.iter().map(|w| w.1.as_str()).collect();
+        self.sched
+            .kept
+            .retain(|job, _| names.contains(job.as_str()));
+        for (_, job) in waiting {
+            while let Some(w) = self.works.get(&job) {
+                let part = (w.spec.tasks as usize).div_ceil(k::OVERDUE_PART);
+                let begun = w.done_count as usize + self.machines.present_of(&job).count();
+                let index = w.next_fresh().or_else(|| w.pending.first().copied());
+                let (Some(index), true) = (index, begun < part) else {
+                    self.sched.kept.remove(&job);
+                    break;
+                };
+                let spec = w.spec.clone();
+                if !self.allows(ctx, &spec, (0.0, 0.0)) {
+                    // The team's next free room is kept for it.
+                    self.sched.kept.insert(job.clone(), None);
+                    break;
+                }
+                let fit = self
+                    .machines
+                    .values()
+                    .filter(|m| self.room(m, &spec) && self.usable(ctx, m, w))
+                    .filter(|m| !self.is_kept(&m.id, &job))
+                    .min_by(|a, b| self.first_fit(a, &spec).cmp(&self.first_fit(b, &spec)))
+                    .map(|m| m.id.clone());
+                if let Some(id) = fit {
+                    if self.place(&id, &job, index) {
+                        continue;
+                    }
+                    break;
+                }
+                let kept = self.sched.kept.get(&job).cloned().flatten();
+                let kept = kept.and_then(|id| self.machines.get(&id));
+                let still = kept.is_some_and(|m| self.usable(ctx, m, w));
+                if !still {
+                    // Where least must end for it to fit.
+                    let holds = |m: &&Machine| {
+                        self.kind(&m.kind).is_some_and(|t| {
+                            t.cpus + k::EPSILON >= spec.cpus
+                                && t.gpus + k::EPSILON >= spec.gpus
+                                && t.memory_gb + k::EPSILON >= spec.memory_gb
+                        })
+                    };
+                    let passing = |m: &Machine| -> i64 {
+                        let stay = m.placements.iter().filter(|p| p.present());
+                        let stay =
+                            stay.filter(|p| self.works.get(&p.job).is_some_and(Work::urgent));
+                        stay.map(|p| (p.cpus * 1e3) as i64).sum()
+                    };
+                    let place = self
+                        .machines
+                        .values()
+                        .filter(|m| self.usable(ctx, m, w) && !self.is_kept(&m.id, &job))
+                        .filter(holds)
+                        .min_by_key(|m| (passing(m), (m.used().0 * 1e3) as i64))
+                        .map(|m| m.id.clone());
+                    if place.is_some() {
+                        log::info!("{job} waited for long: room on {place:?} is kept for it");
+                    }
+                    self.sched.kept.insert(job.clone(), place);
+                }
+                break;
+            }
+        }
+    }
+
+    /// Whether lesser claims must leave a team's room to a job that has waited for long.
+    fn team_kept(&self, spec: &JobSpec) -> bool {
+        let mut kept = self.sched.kept.iter();
+        kept.any(|(j, m)| {
+            let same = self.works.get(j).is_some_and(|w| w.spec.team == spec.team);
+            m.is_none() && *j != spec.id && same
+        })
+    }
+
+    /// First fit: the soonest start, then the cheaper machine, then the tighter fit.
+    fn first_fit(&self, m: &Machine, spec: &JobSpec) -> (i64, i64, i64) {
+        let kind = self.kind(&m.kind);
+        let free = kind.map_or(0.0, |t| m.free(t).0);
+        let price = kind.map_or(0.0, |t| t.price_per_cpu(m.spot));
+        let fetch = self.fetch_s(m, spec).round() as i64;
+        (fetch, (price * 1e4) as i64, (free * 100.0) as i64)
+    }
+
     /// First fit for work without a deadline, late or dropped. `urgent`: only what may not wait
     /// for the next mapping; it may also push lesser work aside.
     fn place_now(&mut self, ctx: &Ctx, urgent: bool) {
         let now = ctx.now.ms;
-        let mut teams = self.teams(ctx);
         let mut order: Vec<(Rank, u64, String)> = self
             .works
             .iter()
@@ -230,69 +422,92 @@
                 }
             })
             .map(|(id, w)| {
-                let rank = (w.spec.priority, teams.within_guarantee(&w.spec));
+                let rank = (w.spec.priority, self.guaranteed(ctx, &w.spec, (0.0, 0.0)));
                 (rank, w.at, id.clone())
             })
             .collect();
         order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
-        let mut claimed: HashMap<String, (f64, f64, f64)> = HashMap::new();
-        for (_, _, job) in order {
-            while let Some(w) = self.works.get(&job) {
-                let late = w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0);
-                let index = if immediate(w) || late {
-                    w.pending.front().copied()
-                } else {
-                    w.pending.iter().find(|n| w.dropped.contains(n)).copied()
-                };
-                let Some(index) = index else { break };
-                if !teams.allows(&w.spec) {
-                    break;
+        // Room that is being made for some of them already.
+        let mut claims = Claims::new();
+        for (_, _, job) in &order {
+            if let Some(w) = self.works.get(job) {
+                if let Some((id, _)) = w.making_room(now) {
+                    claim(&mut claims, id, &w.spec);
                 }
-                let spec = w.spec.clone();
-                let fit = self
-                    .machines
+            }
+        }
+        let mut none: Vec<Shape> = vec![];
+        let mut hopeless: Vec<Shape> = vec![];
+        for (_, _, job) in order {
+            let Some(shape) = self.works.get(&job).map(Shape::of) else {
+                continue;
+            };
+            let full = shape.as_ref().is_some_and(|s| none.contains(s));
+            if !full && self.fill(ctx, &job, urgent) {
+                continue;
+            }
+            let Some(w) = self.works.get(&job) else {
+                continue;
+            };
+            let making = w.making_room(now).is_some();
+            let hopeless_now = shape.as_ref().is_some_and(|s| hopeless.contains(s));
+            if urgent
+                && !making
+                && !hopeless_now
+                && self.allows(ctx, &w.spec, (0.0, 0.0))
+                && !self.preempt(ctx, &job, &mut claims, false)
+            {
+                hopeless.extend(shape.as_ref().and_then(|_| Shape::of(&self.works[&job])));
+            }
+            none.extend(shape);
+        }
+    }
+
+    /// Places tasks of a job first fit. False: there is no room for the next one.
+    fn fill(&mut self, ctx: &Ctx, job: &str, urgent: bool) -> bool {
+        let mut target: Option<String> = None;
+        loop {
+            let Some(w) = self.works.get(job) else {
+                return true;
+            };
+            let late = w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0);
+            let index = if immediate(w) || late {
+                w.pending.first().copied()
+            } else {
+                w.next_dropped()
+            };
+            let Some(index) = index else { return true };
+            let spec = &w.spec;
+            if !self.allows(ctx, spec, (0.0, 0.0)) || !urgent && self.team_kept(spec) {
+                return true;
+            }
+            let takes = |m: &Machine| {
+                (m.held.is_empty() || urgent)
+                    && self.room(m, spec)
+                    && self.usable(ctx, m, w)
+                    && (urgent || !self.is_kept(&m.id, job))
+            };
+            // Once one of its tasks is there, a machine is the best for the next as well.
+            let same = target
+                .take()
+                .filter(|id| self.machines.get(id).is_some_and(takes));
+            target = same.or_else(|| {
+                self.machines
                     .values()
-                    .filter(|m| {
-                        (m.held.is_empty() || urgent)
-                            && self.room(m, &spec)
-                            && self.usable(ctx, m, w)
-                    })
-                    .min_by(|a, b| {
-                        // The soonest start, then the cheaper machine, then the tighter fit.
-                        let key = |m: &Machine| {
-                            let kind = self.kind(&m.kind);
-                            let free = kind.map_or(0.0, |t| m.free(t).0);
-                            let price = kind.map_or(0.0, |t| t.price_per_cpu(m.spot));
-                            let fetch = self.fetch_s(&m.id, &spec).round() as i64;
-                            (fetch, (price * 1e4) as i64, (free * 100.0) as i64)
-                        };
-                        key(a).cmp(&key(b))
-                    })
-                    .map(|m| m.id.clone());
-                match fit {
-                    Some(id) => {
-                        teams.take(&spec);
-                        self.place(&id, &job, index);
-                    }
-                    None => {
-                        if urgent {
-                            self.preempt(ctx, &job, &mut claimed, false);
-                        }
-                        break;
-                    }
-                }
+                    .filter(|m| takes(m))
+                    .min_by_key(|m| self.first_fit(m, spec))
+                    .map(|m| m.id.clone())
+            });
+            let Some(id) = &target else { return false };
+            let id = id.clone();
+            if !self.place(&id, job, index) {
+                return false;
             }
         }
     }
 
     /// Stops work of lower priority where that loses least, so that an urgent task can start.
-    fn preempt(
-        &mut self,
-        ctx: &Ctx,
-        job: &str,
-        claimed: &mut HashMap<String, (f64, f64, f64)>,
-        guarantee: bool,
-    ) -> bool {
+    fn preempt(&mut self, ctx: &Ctx, job: &str, claimed: &mut Claims, guarantee: bool) -> bool {
         let now = ctx.now.ms;
         let Some(w) = self.works.get(job) else {
             return false;
@@ -300,9 +515,16 @@
         let spec = w.spec.clone();
         // What teams keep, not counting what is being stopped.
         let mut used: HashMap<&str, f64> = HashMap::new();
-        for p in self.machines.values().flat_map(|m| &m.placements) {
-            if p.present() && p.stop.is_none() {
-                *used.entry(&p.team).or_default() += p.cpus;
+        if guarantee {
+            for t in &ctx.set.teams {
+                used.insert(&t.name, self.machines.team(&t.name).0);
+            }
+            for m in self.machines.with_commands() {
+                for p in m.placements.iter().filter(|p| p.present()) {
+                    if let (Some(_), Some(u)) = (p.stop, used.get_mut(p.team.as_str())) {
+                        *u -= p.cpus;
+                    }
+                }
             }
         }
         let mut best: Option<(u64, String, Vec<u64>)> = None;
@@ -310,7 +532,7 @@
             let Some(kind) = self.kind(&m.kind) else {
                 continue;
             };
-            if !self.usable(ctx, m, w) {
+            if !self.usable(ctx, m, w) || guarantee && self.is_kept(&m.id, job) {
                 continue;
             }
             let (mut c, mut g, mut mem) = m.free(kind);
@@ -345,7 +567,7 @@
             }
             victims.sort_by_key(|(ran, _)| *ran);
             // An urgent task's wait for its image weighs more than the run time lost.
-            let fetch = self.fetch_s(&m.id, &spec);
+            let fetch = self.fetch_s(m, &spec);
             let (mut cost, mut stops) = ((fetch * k::FETCH_WEIGHT * 1e3) as u64, vec![]);
             let fits = |c: f64, g: f64, mem: f64| {
                 c + k::EPSILON >= spec.cpus
@@ -369,17 +591,17 @@
         let Some((cost, id, stops)) = best else {
             return false;
         };
-        let claim = claimed.entry(id.clone()).or_default();
-        claim.0 += spec.cpus;
-        claim.1 += spec.gpus;
-        claim.2 += spec.memory_gb;
+        claim(claimed, &id, &spec);
         if !stops.is_empty() {
             log::info!(
                 "{job} pushes {} tasks aside on {id}, cost {cost} ms",
                 stops.len()
             );
         }
-        let Some(m) = self.machines.get_mut(&id) else {
+        if let Some(w) = self.works.get_mut(job).filter(|_| !guarantee) {
+            w.making_room = Some((id.clone(), now + k::MAKING_ROOM_MS));
+        }
+        let Some(mut m) = self.machines.edit(&id) else {
             return false;
         };
         if guarantee {
@@ -409,7 +631,6 @@
 
     /// One mapping event.
     fn map(&mut self, ctx: &Ctx) {
-        let now = ctx.now.ms;
         let wall = ctx.now.wall_ms;
         // Misses since the last mapping feed the toggle.
         let mut misses = 0;
@@ -424,52 +645,25 @@
         if was != self.sched.pruner.toggle {
             log::info!("pruning toggle {:?} -> {:?}", was, self.sched.pruner.toggle);
         }
-        let (mut queues, robustness) = self.queues(ctx);
-        let mut teams = self.teams(ctx);
-
-        // What waits, a job standing for its like tasks.
-        struct Cand {
-            job: String,
-            spec: JobSpec,
-            due: f64,
-            left: usize,
-            rank: Rank,
-            best: Option<(String, Offer)>,
-        }
-        let mut cands: Vec<Cand> = self
-            .works
-            .iter()
-            .filter(|(_, w)| !immediate(w) && !w.ending && now >= w.retry_at)
-            .filter_map(|(id, w)| {
-                let due = w.due_s(wall).filter(|d| *d > 0.0)?;
-                let left = w.pending.len().saturating_sub(w.dropped.len());
-                (left > 0).then(|| Cand {
-                    job: id.clone(),
-                    spec: w.spec.clone(),
-                    due,
-                    left,
-                    rank: (w.spec.priority, false),
-                    best: None,
-                })
-            })
-            .collect();
+        let (mut seats, robustness) = self.seats(ctx);
+        let mut cands = self.candidates(ctx, &seats);
         let waiting: usize = cands.iter().map(|c| c.left).sum();
         for c in &mut cands {
-            c.best = self.best_offer(ctx, &queues, &c.job, c.due);
+            c.best = self.best_offer(&mut seats, c);
         }
         let threshold = {
             let smallest = cands.iter().map(|c| c.spec.cpus).fold(f64::MAX, f64::min);
-            let free_slots: usize = queues
-                .values()
-                .map(|q| {
-                    let now_free = (q.cpus.max(0.0) / smallest.max(0.1)) as usize;
-                    now_free + k::HELD.saturating_sub(q.held)
+            let free_slots: usize = seats
+                .iter()
+                .map(|s| {
+                    let now_free = (s.queue.cpus.max(0.0) / smallest.max(0.1)) as usize;
+                    now_free + k::HELD.saturating_sub(s.queue.held)
                 })
                 .sum();
             let old = self.sched.pruner.deferring;
             let passing = cands
                 .iter()
-                .filter(|c| c.best.as_ref().is_some_and(|b| b.1.chance >= old))
+                .filter(|c| c.best.as_ref().is_some_and(|b| b.offer.chance >= old))
                 .map(|c| c.left)
                 .sum();
             self.sched
@@ -477,82 +671,136 @@
                 .adjust(waiting, free_slots, passing, robustness);
             self.sched.pruner.deferring
         };
+        // What this mapping holds for teams, besides what is placed.
+        let mut extra: HashMap<String, (f64, f64)> = HashMap::new();
         loop {
-            for c in &mut cands {
-                c.rank.1 = teams.within_guarantee(&c.spec);
+            let mut rank: Option<Rank> = None;
+            let mut open = vec![false; cands.len()];
+            for (i, c) in cands.iter_mut().enumerate() {
+                if c.left == 0 || c.best.as_ref().is_none_or(|b| b.offer.chance < threshold) {
+                    continue;
+                }
+                let e = extra.get(&c.spec.team).copied().unwrap_or_default();
+                if self.allows(ctx, &c.spec, e) && !self.team_kept(&c.spec) {
+                    c.rank.1 = self.guaranteed(ctx, &c.spec, e);
+                    open[i] = true;
+                    rank = rank.max(Some(c.rank));
+                }
             }
-            let open = |c: &&Cand| {
-                c.left > 0
-                    && teams.allows(&c.spec)
-                    && c.best.as_ref().is_some_and(|b| b.1.chance >= threshold)
-            };
-            let Some(rank) = cands.iter().filter(open).map(|c| c.rank).max() else {
-                break;
-            };
+            let Some(rank) = rank else { break };
             let offers = cands
                 .iter()
                 .enumerate()
-                .filter(|(_, c)| open(c) && c.rank == rank)
-                .filter_map(|(i, c)| Some((i, c.best.as_ref()?.1)));
+                .filter(|(i, c)| open[*i] && c.rank == rank)
+                .filter_map(|(i, c)| Some((i, c.best.as_ref()?.offer)));
             let Some((i, _)) = soonest(offers) else { break };
             let c = &mut cands[i];
-            let Some((id, _)) = c.best.clone() else { break };
-            let spec = c.spec.clone();
-            let Some(q) = queues.get_mut(&id) else { break };
-            let Some(start) = q.start(spec.cpus, spec.gpus, spec.memory_gb) else {
+            let Some(best) = c.best else { break };
+            // Offers only get worse while tasks are put on queues: so it is enough to look
+            // again at the one that would be next.
+            let zoned = c.spec.one_zone || c.spec.spread;
+            if seats[best.seat].changes != best.at || zoned && c.left > 0 && !self.fits(&seats, c) {
+                c.best = self.best_offer(&mut seats, c);
+                continue;
+            }
+            let seat = &mut seats[best.seat];
+            let (cpus, gpus, memory) = (c.spec.cpus, c.spec.gpus, c.spec.memory_gb);
+            let Some(start) = seat.queue.start(cpus, gpus, memory) else {
                 c.best = None;
                 continue;
             };
-            let Some(w) = self.works.get(&c.job) else {
+            let (Some(w), Some(m)) = (self.works.get(&c.job), self.machines.get(&seat.id)) else {
                 break;
             };
-            let next = w.pending.iter().find(|n| !w.dropped.contains(n)).copied();
-            let Some(index) = next else {
+            let Some(index) = w.next_fresh() else {
                 c.left = 0;
                 continue;
             };
             c.left -= 1;
-            let fetch = self.fetch_s(&id, &spec);
-            let kind = self
-                .machines
-                .get(&id)
-                .map_or(String::new(), |m| m.kind.clone());
-            let run = self.sched.runs(&spec, &kind).run().clone();
-            let end = match &start.curve {
-                None => run.shift(fetch),
-                Some(at) => at.convolve(&run),
+            let Some(runs) = &c.runs[seat.kind] else {
+                continue;
             };
-            let q = queues.get_mut(&id).expect("seen");
-            q.push(&start, end, spec.cpus, spec.gpus, spec.memory_gb);
-            teams.take(&spec);
-            let job = c.job.clone();
-            if start.curve.is_none() {
-                self.place(&id, &job, index);
+            let end = match &start.wait {
+                None => runs.run.shift(self.fetch_s(m, &c.spec)),
+                Some(at) => at.curve.convolve(&runs.run),
+            };
+            let (id, job) = (seat.id.clone(), c.job.clone());
+            if start.wait.is_none() {
+                if !self.place(&id, &job, index) {
+                    continue;
+                }
             } else {
+                let e = extra.entry(c.spec.team.clone()).or_default();
+                *e = (e.0 + cpus, e.1 + gpus);
                 if let Some(w) = self.works.get_mut(&job) {
                     w.take(index);
                 }
-                if let Some(m) = self.machines.get_mut(&id) {
+                if let Some(mut m) = self.machines.edit(&id) {
                     m.held.push((job.clone(), index));
                 }
             }
-            // Only offers on that machine changed, and of that job where zones matter.
-            for c in &mut cands {
-                let here = c.best.as_ref().is_some_and(|b| b.0 == id);
-                let zoned = c.job == job && (c.spec.one_zone || c.spec.spread);
-                if c.left > 0 && (here || zoned) {
-                    c.best = self.best_offer(ctx, &queues, &c.job, c.due);
-                }
+            seat.queue.push(&start, end, cpus, gpus, memory);
+            seat.changes += 1;
+        }
+    }
+
+    /// Whether a job's best machine is still in a zone where the job may go.
+    fn fits(&self, seats: &[Seat], c: &Candidate) -> bool {
+        let place = c.best.and_then(|b| self.machines.get(&seats[b.seat].id));
+        let work = self.works.get(&c.job);
+        matches!((place, work), (Some(m), Some(w)) if zone_allows(&self.machines, w, &m.zone))
+    }
+
+    /// What waits and may still be in time, a job standing for its like tasks.
+    fn candidates(&mut self, ctx: &Ctx, seats: &[Seat]) -> Vec<Candidate> {
+        let now = ctx.now.ms;
+        let mut present = vec![false; self.catalog.types.len()];
+        for s in seats {
+            present[s.kind] = true;
+        }
+        let mut out = vec![];
+        for (id, w) in &self.works {
+            if immediate(w) || w.ending || now < w.retry_at || w.pending.is_empty() {
+                continue;
+            }
+            let Some(due) = w.due_s(ctx.now.wall_ms).filter(|d| *d > 0.0) else {
+                continue;
+            };
+            let left = w.fresh();
+            if left == 0 {
+                continue;
             }
+            let sched = &mut self.sched;
+            let runs = self.catalog.types.iter().zip(&present).map(|(t, here)| {
+                let suits = w.spec.types.as_ref().is_none_or(|l| l.contains(&t.name));
+                (*here && suits).then(|| {
+                    let r = sched.runs(&w.spec, &t.name);
+                    Runs {
+                        run: r.run().clone(),
+                        cumulative: r.cumulative().clone(),
+                        mean: r.mean_s(),
+                    }
+                })
+            });
+            out.push(Candidate {
+                job: id.clone(),
+                due,
+                left,
+                rank: (w.spec.priority, false),
+                runs: runs.collect(),
+                best: None,
+                spec: w.spec.clone(),
+            });
         }
+        out
     }
 
     /// Work within its team's guarantee that found no room: other teams return what they borrow,
     /// the tasks that have run least.
     fn reclaim(&mut self, ctx: &Ctx) {
-        let mut teams = self.teams(ctx);
-        let mut claimed = HashMap::new();
-        let waiting: Vec<(String, JobSpec, usize)> = self
+        let mut claimed = Claims::new();
+        let mut extra: HashMap<String, (f64, f64)> = HashMap::new();
+        let waiting: Vec<(String, usize)> = self
             .works
             .iter()
             .filter(|(_, w)| !w.ending && ctx.now.ms >= w.retry_at && w.spec.deadline_s.is_some())
@@ -560,39 +808,41 @@
                 let age = ctx.now.wall_ms.saturating_sub(w.at);
                 age > k::GUARANTEE_WAIT_MS && w.due_s(ctx.now.wall_ms).is_some_and(|d| d > 0.0)
             })
-            .map(|(id, w)| {
-                let n = w.pending.len().saturating_sub(w.dropped.len());
-                (id.clone(), w.spec.clone(), n)
-            })
+            .map(|(id, w)| (id.clone(), w.fresh()))
+            .filter(|(_, n)| *n > 0)
             .collect();
-        let mut left = k::GUARANTEE_STEP;
-        for (job, spec, n) in waiting {
+        let kind = self.machines.values().find(|m| m.life == Life::Up);
+        let kind = kind.map_or(String::new(), |m| m.kind.clone());
+        // A part of the fleet at a time: what is stopped in vain must stay little.
+        let fleet = self.machines.len() / k::GUARANTEE_STEP_PART;
+        let mut left = k::GUARANTEE_STEP.max(fleet);
+        for (job, n) in waiting {
             // What the threshold holds back anyway must not push others aside for nothing.
-            let due = self.works.get(&job).and_then(|w| w.due_s(ctx.now.wall_ms));
-            let kind = self.machines.values().find(|m| m.life == Life::Up);
-            let kind = kind.map_or(String::new(), |m| m.kind.clone());
-            let runs = self.sched.runs(&spec, &kind);
-            let chance = Curve::at(0.0).chance(runs.cumulative(), due.unwrap_or(0.0));
-            if chance < self.sched.pruner.deferring {
+            let Some(w) = self.works.get(&job) else {
+                continue;
+            };
+            let due = w.due_s(ctx.now.wall_ms).unwrap_or(0.0);
+            let runs = self.sched.runs(&w.spec, &kind);
+            if runs.cumulative().by(0.0, due) < self.sched.pruner.deferring {
                 continue;
             }
+            let spec = w.spec.clone();
             for _ in 0..n {
-                if left == 0 || !teams.within_guarantee(&spec) || !teams.allows(&spec) {
+                let e = extra.get(&spec.team).copied().unwrap_or_default();
+                if left == 0 || !self.guaranteed(ctx, &spec, e) || !self.allows(ctx, &spec, e) {
                     break;
                 }
                 left -= 1;
                 if !self.preempt(ctx, &job, &mut claimed, true) {
                     break;
                 }
-                teams.take(&spec);
+                let e = extra.entry(spec.team.clone()).or_default();
+                *e = (e.0 + spec.cpus, e.1 + spec.gpus);
             }
         }
     }
 
-    fn fetch_s(&self, machine: &str, spec: &JobSpec) -> f64 {
-        let Some(m) = self.machines.get(machine) else {
-            return 0.0;
-        };
+    fn fetch_s(&self, m: &Machine, spec: &JobSpec) -> f64 {
         if m.has_image(&spec.image) {
             return 0.0;
         }
@@ -603,62 +853,66 @@
         share * spec.image_gb / rate.max(0.01)
     }
 
-    fn best_offer(
-        &mut self,
-        ctx: &Ctx,
-        queues: &BTreeMap<String, Queue>,
-        job: &str,
-        due: f64,
-    ) -> Option<(String, Offer)> {
-        let spec = self.works.get(job)?.spec.clone();
-        let mut best: Option<(String, Offer)> = None;
-        for (id, q) in queues {
-            let Some(start) = q.start(spec.cpus, spec.gpus, spec.memory_gb) else {
+    /// The machine with the best chance for the job's next task.
+    fn best_offer(&self, seats: &mut [Seat], c: &Candidate) -> Option<Best> {
+        let w = self.works.get(&c.job)?;
+        let spec = &c.spec;
+        let mut best: Option<Best> = None;
+        for (i, seat) in seats.iter_mut().enumerate() {
+            let Some(runs) = &c.runs[seat.kind] else {
                 continue;
             };
-            let (Some(m), Some(w)) = (self.machines.get(id), self.works.get(job)) else {
+            let start = seat.queue.start(spec.cpus, spec.gpus, spec.memory_gb);
+            let (Some(Start { wait, .. }), Some(m)) = (start, self.machines.get(&seat.id)) else {
                 continue;
             };
-            if !self.usable(ctx, m, w) {
+            if m.spot && !spec.spot {
                 continue;
             }
-            let kind = m.kind.clone();
-            let fetch = self.fetch_s(id, &spec);
-            let spare = q.cpus - spec.cpus;
-            let price = self.kind(&kind).map_or(0.0, |t| t.price_per_cpu(m.spot));
-            let runs = self.sched.runs(&spec, &kind);
-            let mean = runs.mean_s();
-            let offer = match &start.curve {
-                None => Offer {
-                    chance: Curve::at(fetch).chance(runs.cumulative(), due),
-                    finish: fetch + mean,
-                    price,
-                    spare,
-                },
+            let fetch = self.fetch_s(m, spec);
+            // What no wait can better; the full sum is made only where it can matter.
+            let (earliest, mean) = wait.as_ref().map_or((0.0, 0.0), |w| (w.earliest, w.mean));
+            let bound = runs.cumulative.by(fetch + earliest, c.due);
+            let finish = mean + fetch + runs.mean;
+            let bound = if wait.is_some() {
+                bound + k::CHANCE_STEP
+            } else {
+                bound
+            };
+            if best
+                .as_ref()
+                .is_some_and(|b| !b.offer.beatable(bound, finish))
+            {
+                continue;
+            }
+            let offer = Offer {
                 // The image comes while the task waits, or after: a bound is enough here.
-                Some(at) => {
-                    let wait = at.mean();
-                    Offer {
-                        chance: at.chance(runs.cumulative(), due - fetch),
-                        finish: wait + fetch + mean,
-                        price,
-                        spare,
-                    }
-                }
+                chance: match &wait {
+                    None => runs.cumulative.by(fetch, c.due),
+                    Some(at) => at.curve.chance(&runs.cumulative, c.due - fetch),
+                },
+                finish,
+                price: seat.price,
+                spare: seat.queue.cpus - spec.cpus,
             };
-            if best.as_ref().is_none_or(|b| offer.beats(&b.1)) {
-                best = Some((id.clone(), offer));
+            let better = best.as_ref().is_none_or(|b| offer.beats(&b.offer));
+            if better && self.suits(m, w) && !self.is_kept(&m.id, &c.job) {
+                best = Some(Best {
+                    seat: i,
+                    at: seat.changes,
+                    offer,
+                });
             }
         }
         best
     }
 
-    /// Every machine's queue with its tail curves. Held tasks below the drop threshold leave
-    /// while the toggle is on. Also returns the instantaneous robustness.
-    fn queues(&mut self, ctx: &Ctx) -> (BTreeMap<String, Queue>, f64) {
+    /// Every open machine's queue with its tail curves. Held tasks below the drop threshold
+    /// leave while the toggle is on. Also returns the instantaneous robustness.
+    fn seats(&mut self, ctx: &Ctx) -> (Vec<Seat>, f64) {
         let now = ctx.now.ms;
         let wall = ctx.now.wall_ms;
-        let mut out = BTreeMap::new();
+        let mut out = vec![];
         let (mut sum, mut count) = (0.0, 0usize);
         let ids: Vec<String> = self
             .machines
@@ -667,68 +921,68 @@
             .map(|m| m.id.clone())
             .collect();
         for id in ids {
-            let m = &self.machines[&id];
-            let Some(kind) = self.kind(&m.kind) else {
+            let Some(m) = self.machines.get(&id) else {
                 continue;
             };
-            let (cpus, gpus, memory) = m.free(kind);
-            let mut q = Queue {
-                cpus,
-                gpus,
-                memory,
-                ..Queue::default()
+            let types = &self.catalog.types;
+            let Some(at) = types.iter().position(|t| t.name == m.kind) else {
+                continue;
             };
-            let kind = m.kind.clone();
-            let running: Vec<_> = m
-                .placements
-                .iter()
-                .filter(|p| p.present())
-                .map(|p| {
-                    let ran = p.running_at.map(|t| now.saturating_sub(t) as f64 / 1e3);
-                    (p.job.clone(), ran, p.cpus, p.gpus, p.memory)
-                })
-                .collect();
-            for (job, ran, cpus, gpus, memory) in running {
-                let Some(w) = self.works.get(&job) else {
+            let kind = &types[at];
+            let (cpus, gpus, memory) = m.free(kind);
+            let mut q = Queue::with_room(cpus, gpus, memory);
+            let price = kind.price_per_cpu(m.spot);
+            for p in m.placements.iter().filter(|p| p.present()) {
+                let Some(w) = self.works.get(&p.job) else {
                     // Ended: it leaves within moments.
-                    q.slots.push(Slot::new(Curve::at(1.0), cpus, gpus, memory));
+                    q.slots
+                        .push(Slot::new(Curve::at(1.0), p.cpus, p.gpus, p.memory));
                     continue;
                 };
-                if w.spec.kind == stonegw_wire::msg::JobKind::Service {
+                if w.spec.kind == JobKind::Service {
                     continue;
                 }
-                let (spec, due) = (w.spec.clone(), w.due_s(wall));
-                let runs = self.sched.runs(&spec, &kind);
-                let end = match ran {
-                    Some(s) => runs.left(s),
+                let runs = self.sched.runs(&w.spec, &kind.name);
+                let end = match p.running_at {
+                    Some(t) => runs.left(now.saturating_sub(t) as f64 / 1e3),
                     None => runs.run().clone(),
                 };
-                if let Some(due) = due {
-                    sum += end.chance(&Curve::at(0.0).cumulative(), due);
+                if let Some(due) = w.due_s(wall) {
+                    sum += end.sum_to(due);
                     count += 1;
                 }
-                q.slots.push(Slot::new(end, cpus, gpus, memory));
+                q.slots.push(Slot::new(end, p.cpus, p.gpus, p.memory));
             }
             q.slots.sort_by(|a, b| a.mean.total_cmp(&b.mean));
-            let held = std::mem::take(&mut self.machines.get_mut(&id).expect("listed").held);
+            let open = self.open(ctx, m);
+            let held = m.held.clone();
             let mut kept = vec![];
-            for (position, (job, index)) in held.into_iter().enumerate() {
+            let last = held.len();
+            for (position, (job, index)) in held.iter().cloned().enumerate() {
                 let Some(w) = self.works.get(&job) else {
                     continue;
                 };
-                let (spec, due) = (w.spec.clone(), w.due_s(wall).unwrap_or(0.0));
+                let spec = &w.spec;
+                let due = w.due_s(wall).unwrap_or(0.0);
                 let Some(start) = q.start(spec.cpus, spec.gpus, spec.memory_gb) else {
                     self.works.get_mut(&job).expect("seen").give_back(index);
                     continue;
                 };
-                let runs = self.sched.runs(&spec, &kind);
-                let end = match &start.curve {
-                    Some(at) => at.convolve(runs.run()),
+                let on = self.sched.pruner.toggle == Toggle::On;
+                let runs = self.sched.runs(spec, &kind.name);
+                // The whole curve only where something follows from it: a task behind this one,
+                // or the drop threshold.
+                let whole = on || position + 1 < last || last < k::HELD;
+                let end = match &start.wait {
                     None => runs.run().clone(),
+                    Some(at) if whole => at.curve.convolve(runs.run()),
+                    Some(at) => at.curve.shift(runs.mean_s()),
                 };
-                let chance = end.chance(&Curve::at(0.0).cumulative(), due);
-                let threshold = Pruner::drop_threshold(end.skewness(), position + 1);
-                let drop = self.sched.pruner.toggle == Toggle::On && chance < threshold;
+                let chance = match &start.wait {
+                    Some(at) if !whole => at.curve.chance(runs.cumulative(), due),
+                    _ => end.sum_to(due),
+                };
+                let drop = on && chance < Pruner::drop_threshold(end.skewness(), position + 1);
                 if drop || due <= 0.0 {
                     log::info!("{job}/{index} leaves the queue of {id}: chance {chance:.2}");
                     let w = self.works.get_mut(&job).expect("seen");
@@ -743,8 +997,20 @@
                 q.push(&start, end, spec.cpus, spec.gpus, spec.memory_gb);
                 kept.push((job, index));
             }
-            self.machines.get_mut(&id).expect("listed").held = kept;
-            out.insert(id, q);
+            if kept != held {
+                if let Some(mut m) = self.machines.edit(&id) {
+                    m.held = kept;
+                }
+            }
+            if open {
+                out.push(Seat {
+                    id,
+                    kind: at,
+                    price,
+                    queue: q,
+                    changes: 0,
+                });
+            }
         }
         (out, if count == 0 { 1.0 } else { sum / count as f64 })
     }
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -65,6 +65,8 @@
     peer_links: Vec<Result<usize, u64>>,
     admission: Admission,
     out: Vec<NetEvent>,
+    /// Connections with something new to send: all that one turn has to say goes out together.
+    unsent: Vec<usize>,
     swept: u64,
     accept_paused: bool,
 }
@@ -122,6 +124,7 @@
             peer_links,
             admission: Admission::default(),
             out: vec![],
+            unsent: vec![],
             swept: 0,
             accept_paused: false,
         })
@@ -135,6 +138,9 @@
     /// Waits for something to happen, at most until the next turn of the timers.
     pub fn poll(&mut self) -> io::Result<Vec<NetEvent>> {
         self.events.clear();
+        for key in std::mem::take(&mut self.unsent) {
+            self.push(key);
+        }
         let wait = Duration::from_millis(if self.out.is_empty() { k::TICK_MS } else { 0 });
         match self.poller.wait(&mut self.events, Some(wait)) {
             Ok(_) => {}
@@ -171,7 +177,7 @@
             c.counted = false;
             self.admission.leave(now, now.saturating_sub(c.asked_at));
         }
-        self.push(key);
+        self.unsent.push(key);
         // The next request may already be here.
         self.serve(key);
     }
@@ -221,7 +227,7 @@
         http::write_request(&mut c.output, method, addr, path, body);
         self.calls.insert(call, key);
         if !self.conns[&key].connecting {
-            self.push(key);
+            self.unsent.push(key);
         }
     }
 
@@ -241,8 +247,8 @@
             log::warn!("a peer stopped reading");
             return self.close(key);
         }
-        if !c.connecting {
-            self.push(key);
+        if !c.connecting && self.unsent.last() != Some(&key) {
+            self.unsent.push(key);
         }
     }
 
--- a/crates/sched/src/curve.rs
+++ b/crates/sched/src/curve.rs
@@ -90,6 +90,33 @@
         f64::from(sum).clamp(0.0, 1.0)
     }
 
+    /// Chance that a run, given by this cumulative curve, that starts after `wait_s` ends by
+    /// `due_s`.
+    pub fn by(&self, wait_s: f64, due_s: f64) -> f64 {
+        if due_s < 0.0 {
+            return 0.0;
+        }
+        let last = ((due_s / BIN_S) as usize).min(BINS - 1);
+        let first = bin(wait_s.max(0.0));
+        last.checked_sub(first)
+            .map_or(0.0, |i| f64::from(self.0[i]).clamp(0.0, 1.0))
+    }
+
+    /// Mass up to a time.
+    pub fn sum_to(&self, due_s: f64) -> f64 {
+        if due_s < 0.0 {
+            return 0.0;
+        }
+        let last = ((due_s / BIN_S) as usize).min(BINS - 1);
+        f64::from(self.0[..=last].iter().sum::<f32>()).clamp(0.0, 1.0)
+    }
+
+    /// The earliest time with any mass, s.
+    pub fn earliest(&self) -> f64 {
+        let first = self.0.iter().position(|m| *m > 0.0).unwrap_or(BINS);
+        first as f64 * BIN_S
+    }
+
     /// Mean time; mass beyond the grid counts at its end.
     pub fn mean(&self) -> f64 {
         let (mut mass, mut sum) = (0.0, 0.0);
@@ -137,6 +164,13 @@
         for due in [0.0, 9.0, 15.0, 21.0, 60.0] {
             let short = a.chance(&b.cumulative(), due);
             assert!((short - f64::from(full.0[(due / BIN_S) as usize])).abs() < 1e-6);
+            // Nothing is better than starting at the earliest.
+            assert!(short <= b.cumulative().by(a.earliest(), due) + 1e-6);
+            assert_eq!(
+                Curve::at(9.0).chance(&b.cumulative(), due),
+                b.cumulative().by(9.0, due)
+            );
+            assert!((b.sum_to(due) - b.cumulative().by(0.0, due)).abs() < 1e-6);
         }
         assert_eq!(a.chance(&b.cumulative(), -1.0), 0.0);
     }
--- a/crates/sched/src/pam.rs
+++ b/crates/sched/src/pam.rs
@@ -1,12 +1,13 @@
 //! Pruning-aware mapping (PAM): each task picks its best-chance machine, the soonest-finishing
 //! pair goes first. Tasks of a job are alike, so a job stands for all its waiting tasks.
 use crate::curve::Curve;
+use std::rc::Rc;
 use stonegw_constants::{CHANCE_STEP, EPSILON, HELD};
 
 /// A task on a machine's queue as the mapping sees it: when it ends and what it then frees.
 #[derive(Clone, Debug)]
 pub struct Slot {
-    pub end: Curve,
+    pub end: Rc<Curve>,
     pub mean: f64,
     pub cpus: f64,
     pub gpus: f64,
@@ -17,7 +18,7 @@
     pub fn new(end: Curve, cpus: f64, gpus: f64, memory: f64) -> Slot {
         let mean = end.mean();
         Slot {
-            end,
+            end: Rc::new(end),
             mean,
             cpus,
             gpus,
@@ -34,16 +35,34 @@
     pub memory: f64,
     pub slots: Vec<Slot>,
     pub held: usize,
+    /// Answers of `start` since the last change: many jobs ask for the same room.
+    asked: Vec<((f64, f64, f64), Option<Start>)>,
 }
 
 #[derive(Clone, Debug)]
 pub struct Start {
-    /// `None`: room is free now.
-    pub curve: Option<Curve>,
+    /// When the room is free; `None`: now.
+    pub wait: Option<Wait>,
     used: usize,
 }
 
+#[derive(Clone, Debug)]
+pub struct Wait {
+    pub curve: Rc<Curve>,
+    pub mean: f64,
+    pub earliest: f64,
+}
+
 impl Queue {
+    pub fn with_room(cpus: f64, gpus: f64, memory: f64) -> Queue {
+        Queue {
+            cpus,
+            gpus,
+            memory,
+            ..Queue::default()
+        }
+    }
+
     pub fn fits_now(&self, cpus: f64, gpus: f64, memory: f64) -> bool {
         self.cpus + EPSILON >= cpus
             && self.gpus + EPSILON >= gpus
@@ -53,35 +72,55 @@
     /// When room for such a task will be free: now if there is room and nobody waits for it,
     /// else when enough of the soonest-ending tasks are gone. `None` if it never will be, or
     /// if the queue already holds its two.
-    pub fn start(&self, cpus: f64, gpus: f64, memory: f64) -> Option<Start> {
-        if self.fits_now(cpus, gpus, memory) && self.held == 0 {
+    pub fn start(&mut self, cpus: f64, gpus: f64, memory: f64) -> Option<Start> {
+        if self.held == 0 && self.fits_now(cpus, gpus, memory) {
             return Some(Start {
-                curve: None,
+                wait: None,
                 used: 0,
             });
         }
         if self.held >= HELD {
             return None;
         }
+        let size = (cpus, gpus, memory);
+        if let Some((_, known)) = self.asked.iter().find(|a| a.0 == size) {
+            return known.clone();
+        }
+        let answer = self.later_start(cpus, gpus, memory);
+        self.asked.push((size, answer.clone()));
+        answer
+    }
+
+    fn later_start(&self, cpus: f64, gpus: f64, memory: f64) -> Option<Start> {
         let (mut c, mut g, mut m) = (self.cpus, self.gpus, self.memory);
-        let mut curve: Option<Curve> = None;
+        let mut curve: Option<Rc<Curve>> = None;
         for (i, slot) in self.slots.iter().enumerate() {
             c += slot.cpus;
             g += slot.gpus;
             m += slot.memory;
-            curve = Some(match curve {
+            let end = match curve {
                 None => slot.end.clone(),
-                Some(before) => before.later(&slot.end),
-            });
+                Some(before) => Rc::new(before.later(&slot.end)),
+            };
             if c + EPSILON >= cpus && g + EPSILON >= gpus && m + EPSILON >= memory {
-                return Some(Start { curve, used: i + 1 });
+                let wait = Wait {
+                    mean: end.mean(),
+                    earliest: end.earliest(),
+                    curve: end,
+                };
+                return Some(Start {
+                    wait: Some(wait),
+                    used: i + 1,
+                });
             }
+            curve = Some(end);
         }
         None
     }
 
     /// Puts a task on the queue: what it waits for is used up, and it ends itself later.
     pub fn push(&mut self, start: &Start, end: Curve, cpus: f64, gpus: f64, memory: f64) {
+        self.asked.clear();
         for slot in self.slots.drain(..start.used) {
             self.cpus += slot.cpus;
             self.gpus += slot.gpus;
@@ -90,7 +129,7 @@
         self.cpus -= cpus;
         self.gpus -= gpus;
         self.memory -= memory;
-        self.held += usize::from(start.curve.is_some());
+        self.held += usize::from(start.wait.is_some());
         let slot = Slot::new(end, cpus, gpus, memory);
         let at = self.slots.partition_point(|s| s.mean <= slot.mean);
         self.slots.insert(at, slot);
@@ -124,6 +163,11 @@
         }
         self.spare < other.spare
     }
+
+    /// Whether an offer with no better chance and no sooner finish than these could win.
+    pub fn beatable(&self, chance: f64, finish: f64) -> bool {
+        chance - self.chance > CHANCE_STEP || finish <= self.finish + 1.0
+    }
 }
 
 /// Second phase: which job's best offer finishes soonest. `None` if there is none.
@@ -148,10 +192,10 @@
 
     #[test]
     fn a_task_waits_for_as_much_room_as_it_needs() {
-        let q = busy();
-        assert!(q.start(1.0, 0.0, 1.0).unwrap().curve.is_none());
-        assert_eq!(q.start(2.0, 0.0, 1.0).unwrap().curve.unwrap().mean(), 12.0);
-        assert_eq!(q.start(4.0, 0.0, 1.0).unwrap().curve.unwrap().mean(), 30.0);
+        let mut q = busy();
+        assert!(q.start(1.0, 0.0, 1.0).unwrap().wait.is_none());
+        assert_eq!(q.start(2.0, 0.0, 1.0).unwrap().wait.unwrap().mean, 12.0);
+        assert_eq!(q.start(4.0, 0.0, 1.0).unwrap().wait.unwrap().mean, 30.0);
         assert!(q.start(5.0, 0.0, 1.0).is_none());
     }
 
@@ -160,8 +204,8 @@
         let mut q = busy();
         for expected in [12.0, 30.0] {
             let s = q.start(2.0, 0.0, 1.0).unwrap();
-            assert_eq!(s.curve.as_ref().unwrap().mean(), expected);
-            let end = s.curve.clone().unwrap().shift(60.0);
+            assert_eq!(s.wait.as_ref().unwrap().mean, expected);
+            let end = s.wait.as_ref().unwrap().curve.shift(60.0);
             q.push(&s, end, 2.0, 0.0, 1.0);
         }
         assert!(q.start(2.0, 0.0, 1.0).is_none());
--- a/crates/sched/src/runtimes.rs
+++ b/crates/sched/src/runtimes.rs
@@ -9,6 +9,9 @@
     histogram: Histogram<u32>,
     run: Curve,
     cumulative: Curve,
+    mean: f64,
+    /// The recorded times in s with their counts, shortest first.
+    points: Vec<(f64, u32)>,
     fresh: bool,
     pub observed: u32,
 }
@@ -28,6 +31,8 @@
             histogram,
             run: Curve::zero(),
             cumulative: Curve::zero(),
+            mean: 0.0,
+            points: vec![],
             fresh: false,
             observed: 0,
         }
@@ -40,19 +45,21 @@
         self.fresh = false;
     }
 
+    /// The histogram is walked once a change, not once a question: it has thousands of cells.
     fn refresh(&mut self) {
         if self.fresh {
             return;
         }
         self.run = Curve::zero();
+        self.points.clear();
         let total = self.histogram.len() as f64;
         for v in self.histogram.iter_recorded() {
-            self.run.add(
-                v.value_iterated_to() as f64 / 1e3,
-                v.count_at_value() as f64 / total,
-            );
+            let (s, n) = (v.value_iterated_to() as f64 / 1e3, v.count_at_value());
+            self.run.add(s, f64::from(n) / total);
+            self.points.push((s, n));
         }
         self.cumulative = self.run.cumulative();
+        self.mean = self.histogram.mean() / 1e3;
         self.fresh = true;
     }
 
@@ -66,28 +73,24 @@
         &self.cumulative
     }
 
-    pub fn mean_s(&self) -> f64 {
-        self.histogram.mean() / 1e3
+    pub fn mean_s(&mut self) -> f64 {
+        self.refresh();
+        self.mean
     }
 
     /// What is left of a run that has lasted `elapsed_s`: the part of the histogram above it.
     /// A run longer than anything seen may end any moment.
     pub fn left(&mut self, elapsed_s: f64) -> Curve {
-        let mut out = Curve::zero();
-        let (mut mass, floor) = (0.0, ms(elapsed_s.max(0.001)));
-        for v in self.histogram.iter_recorded() {
-            if v.value_iterated_to() > floor {
-                mass += v.count_at_value() as f64;
-            }
-        }
-        if mass <= 0.0 {
+        self.refresh();
+        let from = self.points.partition_point(|p| p.0 <= elapsed_s);
+        let rest = &self.points[from..];
+        let mass: u32 = rest.iter().map(|p| p.1).sum();
+        if mass == 0 {
             return Curve::at(elapsed_s * 0.2);
         }
-        for v in self.histogram.iter_recorded() {
-            if v.value_iterated_to() > floor {
-                let s = v.value_iterated_to() as f64 / 1e3 - elapsed_s;
-                out.add(s, v.count_at_value() as f64 / mass);
-            }
+        let mut out = Curve::zero();
+        for (s, n) in rest {
+            out.add(s - elapsed_s, f64::from(*n) / f64::from(mass));
         }
         out
     }
--- a/crates/stonegwd/src/main.rs
+++ b/crates/stonegwd/src/main.rs
@@ -75,16 +75,14 @@
         if events.is_empty() {
             events.push(Event::Tick);
         }
-        for event in events.drain(..) {
-            let now = Now {
-                ms: net.now(),
-                wall_ms: SystemTime::now()
-                    .duration_since(UNIX_EPOCH)
-                    .map_or(0, |d| d.as_millis() as u64),
-            };
-            for action in node.handle(now, event) {
-                perform(&mut net, action, &cloud, &state);
-            }
+        let now = Now {
+            ms: net.now(),
+            wall_ms: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |d| d.as_millis() as u64),
+        };
+        for action in node.handle(now, events.drain(..)) {
+            perform(&mut net, action, &cloud, &state);
         }
         events.extend(net.poll()?.into_iter().map(translate));
     }
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -21,12 +21,12 @@
 }
 mutant run_waits_for_store ran_twice "leader/place.rs" 's/self\.next_attempt, Phase::New/self.next_attempt, Phase::Ready/'
 mutant old_session_report ran_twice "leader/place.rs" 's/if unsent \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if unsent/'
-mutant late_direct_command ran_twice "leader/command.rs" 's/if settled && beat && !open/if settled \&\& beat/'
-mutant cancel_races_a_start ran_cancelled "leader/command.rs leader/hear.rs" 's/if open && !p\.inherited \{/if false {/; s/settled && beat && !open/settled \&\& beat/; s/stop\.is_some\(\) && beat && !open/stop.is_some() \&\& beat/'
+mutant late_direct_command ran_twice "leader/command.rs" 's/settled && beat && !open && may_clear\(now, p, cause\)/settled \&\& beat/'
+mutant cancel_races_a_start ran_cancelled "leader/command.rs leader/hear.rs" 's/if open && !p\.inherited \{/if false {/; s/settled && beat && !open && may_clear\(now, p, cause\)/settled \&\& beat/; s/stop\.is_some\(\) && beat && !open/stop.is_some() \&\& beat/'
 mutant stale_node went_back "node/users.rs" 's/if self\.replica\.end_of\(job\)\.is_some\(\) \{\n            let status/if self.replica.jobs.contains_key(job) {\n            let status/'
-mutant team_limit quota ledger.rs 's/for p in machines\.values\(\)\.flat_map/for p in machines.values().filter(|m| m.heard.is_some()).flat_map/'
-mutant leader_ends_while_tasks_run ran_twice "leader/load.rs" 's/for p in e\.value\.tasks \{/for p in e.value.tasks.into_iter().take(0) {/'
-mutant stale_record ran_twice "leader/command.rs" 's/&& !p\.inherited\n\s+&& addr_known/\&\& addr_known/'
-mutant late_transaction ran_twice "leader/store.rs" 's/txn\.conditions\.push\(Condition \{\s+key: key\.clone\(\),\s+version,\s+\}\);/let _ = version;/'
+mutant team_limit quota ledger.rs 's/present: p\.present\(\),/present: p.present() \&\& m.heard.is_some(),/'
+mutant leader_ends_while_tasks_run ran_twice "leader/load.rs" 's/in tasks \{/in tasks.into_iter().take(0) {/'
+mutant stale_record ran_twice "leader/command.rs" 's/&& !p\.inherited\n\s+&& wanted/\&\& wanted/'
+mutant late_transaction ran_twice "leader/store.rs" 's/self\.txn\.conditions\.push\(Condition \{\s+key: key\.clone\(\),\s+version,\s+\}\);/let _ = version;/'
 mutant late_report ran_twice "leader/hear.rs" 's/if m\.under_token \{/if true {/'
 exit $bad
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -239,6 +239,12 @@
         }
     }
 
+    pub fn value_bytes(&mut self, bytes: usize) {
+        for s in &mut self.settings {
+            s.value_bytes = bytes;
+        }
+    }
+
     pub fn add_machine(&mut self, zone: &str) {
         let kind = if zone == "a" { "small" } else { "far" };
         let hire = Hire {
@@ -330,7 +336,7 @@
         let Some(n) = self.nodes[node].as_mut() else {
             return;
         };
-        for action in n.handle(now, event) {
+        for action in n.handle(now, [event]) {
             if self.nodes[node].is_none() {
                 return;
             }
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -5,6 +5,7 @@
 //! | `nodes N` | controllers (3 if not said) |
 //! | `machines N ZONE` | machines up at the start |
 //! | `write-rps N` | changes a second that the state service takes |
+//! | `value-bytes N` | bytes a record may take; little makes one record a machine |
 //! | `capacity N` | machines the cloud has at most |
 //! | `T submit JOB KIND N [key value]...` | keys: cpus, run, due, team, zone, priority, image |
 //! | `T cancel JOB` | its user asks to cancel |
@@ -56,6 +57,7 @@
                 }
             }
             "write-rps" => sim.write_rps(l[1].parse().expect("rate")),
+            "value-bytes" => sim.value_bytes(l[1].parse().expect("bytes")),
             "capacity" => sim.cloud.capacity = l[1].parse().expect("capacity"),
             "until" => until = ms(&l[1]),
             when => script.push((ms(when), l[1..].to_vec())),
