--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -776,8 +776,6 @@
     pub moved_at: Option<Ms>,
     /// Tasks that are to be placed before other work, since it waited for long.
     pub owed: usize,
-    /// The machine where lesser work is being stopped for it, and until when that is believed.
-    pub making_room: Option<(String, Ms)>,
 }
 
 impl Work {
@@ -797,14 +795,9 @@
             missed: false,
             moved_at: None,
             owed: 0,
-            making_room: None,
         }
     }
 
-    pub fn making_room(&self, now: Ms) -> Option<&(String, Ms)> {
-        self.making_room.as_ref().filter(|(_, until)| now < *until)
-    }
-
     /// Seconds from `wall_ms` to the deadline; negative when late.
     pub fn due_s(&self, wall_ms: u64) -> Option<f64> {
         let due = self.spec.deadline_s?;
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -25,6 +25,8 @@
     observed: HashMap<String, (u32, f64)>,
     /// What is kept for jobs that waited for long.
     pub kept: HashMap<String, Kept>,
+    /// Where lesser work is being stopped for urgent jobs.
+    making: Vec<Making>,
     /// Per class: how many jobs ended, and the sum of the logarithms of run over estimate.
     ratios: HashMap<String, (f64, f64)>,
 }
@@ -138,6 +140,15 @@
     }
 }
 
+/// Room that lesser work is leaving on a machine for an urgent job. Nothing else may take it:
+/// else the job would push aside again and again and wait for each.
+#[derive(Debug)]
+struct Making {
+    machine: String,
+    job: String,
+    until: Ms,
+}
+
 /// Room that is being made on machines, by machine.
 type Claims = HashMap<String, (f64, f64, f64)>;
 
@@ -280,6 +291,7 @@
                         || !self.allows(ctx, &w.spec, (0.0, 0.0))
                         || self.is_kept(id, &job)
                         || self.team_kept(&w.spec)
+                        || self.is_made(ctx.now.ms, id)
                     {
                         return;
                     }
@@ -330,14 +342,7 @@
             .collect();
         order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
         // Room that is being made for some of them already.
-        let mut claims = Claims::new();
-        for (_, _, job) in &order {
-            if let Some(w) = self.works.get(job) {
-                if let Some((id, _)) = w.making_room(now) {
-                    claim(&mut claims, id, &w.spec);
-                }
-            }
-        }
+        let mut claims = self.claims(now);
         let mut none: Vec<Shape> = vec![];
         let mut hopeless: Vec<Shape> = vec![];
         for (_, _, job) in order {
@@ -351,7 +356,7 @@
             let Some(w) = self.works.get(&job) else {
                 continue;
             };
-            let making = w.making_room(now).is_some();
+            let making = self.sched.making.iter().any(|m| m.job == job);
             let hopeless_now = shape.as_ref().is_some_and(|s| hopeless.contains(s));
             if urgent
                 && !making
@@ -365,6 +370,44 @@
         }
     }
 
+    /// Room that is being made and may still be believed in, by machine.
+    fn claims(&mut self, now: Ms) -> Claims {
+        let mut claims = Claims::new();
+        let (works, machines, types) = (&self.works, &self.machines, &self.catalog.types);
+        self.sched.making.retain(|made| {
+            let (Some(w), Some(m)) = (works.get(&made.job), machines.get(&made.machine)) else {
+                return false;
+            };
+            let Some(kind) = types.iter().find(|t| t.name == m.kind) else {
+                return false;
+            };
+            let (mut c, mut g, mut mem) = m.free(kind);
+            for p in m
+                .placements
+                .iter()
+                .filter(|p| p.present() && p.stop.is_some())
+            {
+                (c, g, mem) = (c + p.cpus, g + p.gpus, mem + p.memory);
+            }
+            let taken = claims.get(&made.machine).copied().unwrap_or_default();
+            let fits = c - taken.0 + k::EPSILON >= w.spec.cpus
+                && g - taken.1 + k::EPSILON >= w.spec.gpus
+                && mem - taken.2 + k::EPSILON >= w.spec.memory_gb;
+            let believed = fits && now < made.until && !w.pending.is_empty();
+            if believed {
+                claim(&mut claims, &made.machine, &w.spec);
+            }
+            believed
+        });
+        claims
+    }
+
+    /// Whether room on the machine is being made for urgent work.
+    fn is_made(&self, now: Ms, machine: &str) -> bool {
+        let mut making = self.sched.making.iter();
+        making.any(|m| m.machine == machine && now < m.until)
+    }
+
     /// Places tasks of a job first fit. False: there is no room for the next one.
     fn fill(&mut self, ctx: &Ctx, job: &str, urgent: bool) -> bool {
         let mut target: Option<String> = None;
@@ -387,7 +430,7 @@
                 (m.held.is_empty() || urgent)
                     && self.room(m, spec)
                     && self.usable(ctx, m, w)
-                    && (urgent || !self.is_kept(&m.id, job))
+                    && (urgent || !self.is_kept(&m.id, job) && !self.is_made(ctx.now.ms, &m.id))
             };
             // Once one of its tasks is there, a machine is the best for the next as well.
             let same = target
@@ -500,18 +543,20 @@
                 stops.len()
             );
         }
-        if let Some(w) = self.works.get_mut(job).filter(|_| !guarantee) {
-            w.making_room = Some((id.clone(), now + k::MAKING_ROOM_MS));
+        if !guarantee {
+            self.sched.making.push(Making {
+                machine: id.clone(),
+                job: job.to_owned(),
+                until: now + k::MAKING_ROOM_MS,
+            });
         }
         let Some(mut m) = self.machines.edit(&id) else {
             return false;
         };
-        if guarantee {
-            // Held tasks must not take the room that is being made.
-            for (job, index) in std::mem::take(&mut m.held) {
-                if let Some(w) = self.works.get_mut(&job) {
-                    w.give_back(index);
-                }
+        // Held tasks must not take the room that is being made.
+        for (job, index) in std::mem::take(&mut m.held) {
+            if let Some(w) = self.works.get_mut(&job) {
+                w.give_back(index);
             }
         }
         for p in m
@@ -856,7 +901,7 @@
                 q.slots.push(Slot::new(end, p.cpus, p.gpus, p.memory));
             }
             q.slots.sort_by(|a, b| a.mean.total_cmp(&b.mean));
-            let open = self.open(ctx, m);
+            let open = self.open(ctx, m) && !self.is_made(now, &id);
             let held = m.held.clone();
             let mut kept = vec![];
             let last = held.len();
