State budgets follow need; placements that can wait are written together

Ruled out: load balancer, admission limit, processor. Leader's share of reads 0.7 -> 0.45, of changes 0.7 -> 0.6; followers reopen a watch after 0.2 s; submissions before polls; batch placements every 0.3 s, a reserve for urgent ones.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -77,7 +77,7 @@
 /// ms, the longest pause between retries of a state call.
 pub const STATE_RETRY_MAX_MS: u64 = 1_500;
 /// ms between two read barriers at least: bounds their share of the request budget.
-pub const BARRIER_GAP_MS: u64 = 60;
+pub const BARRIER_GAP_MS: u64 = 100;
 /// ms between probes of a state service that did not answer.
 pub const STATE_PROBE_MS: u64 = 300;
 /// ms after which the leader reads the changes even if its watch tells none: bounds how late
@@ -90,8 +90,22 @@
 pub const STORE_PATIENCE_MS: u64 = 3_500;
 /// ms without any answer from the state service after which it counts as out of reach.
 pub const STATE_DOWN_MS: u64 = 2_500;
-/// Share of the state service's budgets that the leader may use; the followers share the rest.
-pub const LEADER_SHARE: f64 = 0.7;
+/// Shares of the state service's requests and changes that the leader may use; the followers
+/// share the rest. Users ask all nodes alike, and each answer needs a read; of the changes most
+/// are placements.
+pub const LEADER_READS: f64 = 0.45;
+pub const LEADER_WRITES: f64 = 0.6;
+/// ms between the end of a follower's watch and the next: changes that come together are told
+/// together. The leader asks again at once, since work waits for it.
+pub const WATCH_GAP_MS: u64 = 200;
+/// ms between two transactions with placements of work that is not urgent: one write a record
+/// then holds what came meanwhile.
+pub const FLUSH_GAP_MS: u64 = 300;
+/// Part of a transaction's changes, or of a second's if fewer, kept in the budget for urgent
+/// placements.
+pub const FLUSH_RESERVE: f64 = 0.25;
+/// ms between two transactions that only tidy up.
+pub const TIDY_GAP_MS: u64 = 2_000;
 /// Bytes of JSON left free in a transaction for framing.
 pub const TXN_MARGIN: usize = 2 * 1024;
 /// Bytes of JSON in a transaction at most (the protocol's limit).
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -163,6 +163,9 @@
     pub deleted: HashMap<String, Ms>,
     flushing: bool,
     flush_at: Ms,
+    /// When placements that are not urgent may go out again, and what only tidies up.
+    batch_at: Ms,
+    tidy_at: Ms,
     /// `d/` records of jobs that have ended.
     drops: Vec<(String, Stored)>,
     /// `d/` records of jobs that our copy does not show yet.
@@ -210,6 +213,8 @@
             deleted: HashMap::new(),
             flushing: false,
             flush_at: 0,
+            batch_at: 0,
+            tidy_at: 0,
             drops: vec![],
             early: vec![],
             rereading: false,
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -125,10 +125,19 @@
         let mut draft = Draft::new(self.term, most);
         self.flush_urgent(ctx, &mut draft);
         self.flush_ends(ctx, &mut draft);
-        self.flush_results(ctx, &mut draft);
-        self.flush_shards(ctx, &mut draft, |s| s.stored.dirty);
+        // The rest waits for company, and leaves urgent placements their budget.
+        let ops = ctx.set.txn_ops as f64;
+        let reserve = ops.min(ctx.set.state_write_rps) * k::FLUSH_RESERVE;
+        if now >= self.batch_at && level > reserve {
+            self.flush_results(ctx, &mut draft);
+            self.flush_shards(ctx, &mut draft, |s| s.stored.dirty);
+            if !draft.items.is_empty() {
+                self.batch_at = now + k::FLUSH_GAP_MS;
+            }
+        }
         // Tidying must not eat the budget that placements may need in the next second.
-        if level > ctx.set.txn_ops as f64 * 0.5 {
+        if now >= self.tidy_at && level > ops * 0.5 {
+            self.tidy_at = now + k::TIDY_GAP_MS;
             self.flush_shards(ctx, &mut draft, |s| s.stored.stale);
             for (key, stored) in &mut self.drops {
                 if let (Some(version), false) = (stored.version, stored.writing) {
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -253,12 +253,12 @@
     /// The state service's limits hold for all nodes together: the leader gets the larger part.
     fn share_budgets(&mut self) {
         let others = self.set.peers.len().max(1) as f64;
-        let share = if self.role == Role::Leading {
-            k::LEADER_SHARE
-        } else {
-            (1.0 - k::LEADER_SHARE) / others
+        let share = |part: f64| match self.role {
+            Role::Leading => part,
+            _ => (1.0 - part) / others,
         };
-        let (r, w) = (self.set.state_rps * share, self.set.state_write_rps * share);
+        let r = self.set.state_rps * share(k::LEADER_READS);
+        let w = self.set.state_write_rps * share(k::LEADER_WRITES);
         self.reads.set_rate(r, r.max(4.0));
         // A burst of one whole transaction must be possible.
         self.writes
@@ -422,7 +422,8 @@
             Call::Watch => {
                 self.watching = false;
                 match self.changes(result) {
-                    Some(true) => self.watch_at = now,
+                    Some(true) if self.role == Role::Leading => self.watch_at = now,
+                    Some(true) => self.watch_at = now + k::WATCH_GAP_MS,
                     Some(false) => self.relist(),
                     None => self.watch_at = now + k::STATE_RETRY_MS,
                 }
--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -98,6 +98,7 @@
 
     pub(super) fn submit(&mut self, id: u64, ask: Ask) {
         let Ask::Submit(spec) = &ask else { return };
+        log::debug!("{} submitted, state out {}", spec.id, self.state_out());
         if self.replica.end_of(&spec.id).is_some() {
             let status = self.status(&spec.id);
             return self.out.reply(id, 200, None, &status);
@@ -158,6 +159,9 @@
                 );
             }
         }
+        if !self.to_store.is_empty() && self.storing < 2 && now >= self.store_at {
+            self.store();
+        }
         // Without requests nothing else would notice that the state service is back: the watch
         // may hang, and requests are refused meanwhile. The leader also must not miss a cancel
         // because its watch hangs.
@@ -186,16 +190,13 @@
             let call = self.out.call(Target::State, "GET", path, vec![], wait);
             self.calls.insert(call, Call::Barrier { polls });
         }
-        if !self.to_store.is_empty() && self.storing < 2 && now >= self.store_at {
-            self.store();
-        }
     }
 
     /// Puts as many submissions and cancels into one transaction as fit.
     pub(super) fn store(&mut self) {
         let now = self.now.ms;
         let most = (self.writes.level(now) as usize).min(self.set.txn_ops);
-        if most == 0 || !self.reads.take(now, 1.0) {
+        if most == 0 {
             return;
         }
         let mut txn = Txn {
@@ -246,6 +247,8 @@
         if batch.is_empty() {
             return;
         }
+        // Users wait for it: polls are answered after.
+        self.reads.force(now, 1.0);
         self.writes.force(now, batch.len() as f64);
         self.storing += 1;
         let call = self.out.call(
@@ -271,6 +274,8 @@
                         Ask::Submit(spec) => {
                             let record = JobRecord::submitted(spec, self.now.wall_ms);
                             let id = spec.id.clone();
+                            let asked = p.until.saturating_sub(k::STORE_PATIENCE_MS);
+                            log::debug!("{id} accepted after {} ms", now.saturating_sub(asked));
                             self.replica.put_job(&id, record, answer.revision);
                             let body = status(&id, JobPhase::Queued);
                             self.out.reply(p.id, 201, None, &body);
