The first leader rents before it has heard the machines, half a fleet a step

Ruled out: placing later jobs (their tasks start within a second). Where nothing is stored, a list of the machines is enough to rent by; placing still waits a report period.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -311,7 +311,7 @@
 /// Most machines rented in one decision of one kind, or this part of the fleet if that is more:
 /// keeps a wrong estimate cheap.
 pub const HIRE_STEP: u32 = 8;
-pub const HIRE_STEP_PART: u32 = 6;
+pub const HIRE_STEP_PART: u32 = 2;
 /// Part of the time left to a deadline that the fleet is sized for; the remainder covers late
 /// starts and wrong estimates.
 pub const SLACK_USE: f64 = 0.85;
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Renting and returning machines. What is wanted follows from the work at hand, the live
 //! catalogue and the refusals observed; names of requests carry the term and are never reused.
 use crate::api::{CallError, CallResult, Ms, Target};
-use crate::leader::{Ctx, Leader};
+use crate::leader::{Ctx, Leader, Stage};
 use crate::ledger::{Life, Machine, Phase};
 use crate::node::describe;
 use crate::settings::Bucket;
@@ -40,6 +40,8 @@
     decide_at: Ms,
     list_at: Ms,
     listing: Option<Vec<ListedMachine>>,
+    /// A whole list has come.
+    known: bool,
     list_asked: bool,
     catalog_at: Ms,
     catalog_asked: bool,
@@ -73,6 +75,7 @@
             decide_at: now,
             list_at: now,
             listing: None,
+            known: false,
             list_asked: false,
             catalog_at: now + k::CATALOG_MS,
             catalog_asked: false,
@@ -131,15 +134,22 @@
             let rps = ctx.set.cloud_rps;
             self.fleet.budget = Some(Bucket::new(rps * 0.8, (rps * 1.6).max(1.0)));
         }
-        if now >= self.fleet.decide_at {
+        let active = self.stage == Stage::Active;
+        // A leader without predecessors need not hear the machines to know that more are wanted:
+        // a list tells of them, and every second of the first boots counts.
+        if now >= self.fleet.decide_at && (active || self.first && self.fleet.known) {
             self.fleet.decide_at = now + k::FLEET_MS;
-            self.return_idle(ctx);
+            if active {
+                self.return_idle(ctx);
+            }
             self.decide(ctx);
         }
         if now < self.fleet.pause_until {
             return;
         }
-        self.delete(ctx);
+        if active {
+            self.delete(ctx);
+        }
         self.hire(ctx);
         if now >= self.fleet.list_at && !self.fleet.list_asked && self.cloud(now) {
             self.fleet.list_asked = true;
@@ -354,7 +364,9 @@
             };
             let age = now.saturating_sub(m.born) as f64 / 1e3;
             let coming = m.life == Life::Booting && age < t.boot_s * k::BOOT_OVERDUE;
-            let up = m.life == Life::Up && !m.quiet(now, ctx.set.report_s);
+            // Before the first reports, the list's word is good enough.
+            let unheard = self.stage != Stage::Active && m.listed_up && m.life == Life::Booting;
+            let up = m.life == Life::Up && !m.quiet(now, ctx.set.report_s) || unheard;
             if coming || up {
                 let eta = if up {
                     0.0
@@ -767,6 +779,7 @@
             return;
         }
         let list = self.fleet.listing.take().unwrap_or_default();
+        self.fleet.known = true;
         let mut present = HashSet::new();
         for l in list {
             present.insert(l.id.clone());
@@ -784,6 +797,7 @@
                 continue;
             };
             m.listed = true;
+            m.listed_up = l.state == MachineState::Running;
             m.missing = 0;
             if m.addr.is_none() {
                 m.addr = l.addr;
--- a/crates/control/src/leader/load.rs
+++ b/crates/control/src/leader/load.rs
@@ -39,6 +39,7 @@
                     self.sched.learn(&seen.class, seen.ratio);
                 }
                 self.take_changes(ctx);
+                self.first = self.shards.is_empty();
                 let period = (ctx.set.report_s * 1.25 * 1e3) as u64;
                 self.set_stage(Stage::Settling {
                     until: self.since.max(now.saturating_sub(period)) + period,
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -175,6 +175,8 @@
     pub fleet: Fleet,
     /// Something changed that could let work start.
     pub wake: bool,
+    /// Nothing was placed before us.
+    pub first: bool,
 }
 
 /// Why everything on a machine is gone.
@@ -221,6 +223,7 @@
             sched: Scheduler::default(),
             fleet: Fleet::new(term, now),
             wake: true,
+            first: false,
         }
     }
 
@@ -269,11 +272,11 @@
         }
         if self.stage == Stage::Active {
             self.schedule(ctx);
-            // A request to the cloud can be carried out late, after another leader has made
-            // its own plans: so none without a lease that surely holds.
-            if self.confirmed(ctx) {
-                self.run_fleet(ctx);
-            }
+        }
+        // A request to the cloud can be carried out late, after another leader has made its own
+        // plans: so none without a lease that surely holds.
+        if (self.stage == Stage::Active || self.first) && self.confirmed(ctx) {
+            self.run_fleet(ctx);
         }
         self.flush(ctx);
         self.command(ctx);
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -176,6 +176,8 @@
     /// Rented at, as far as we know.
     pub born: Ms,
     pub listed: bool,
+    /// The last list called it running.
+    pub listed_up: bool,
     /// Lists without it since it was listed or heard.
     pub missing: u32,
     /// Taken away by the cloud at.
@@ -225,6 +227,7 @@
             known_since: now,
             born: now,
             listed: false,
+            listed_up: false,
             missing: 0,
             notice: None,
             placements: vec![],
