The fleet's sizing keeps room for what is to come and goes first

Ruled out: idle or unusable machines (none), full records, the deferring threshold. Part of that inflow, by how long tasks run, is now taken off the room (inflow_use).

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -315,6 +315,10 @@
 /// Part of the time left to a deadline that the fleet is sized for; the remainder covers late
 /// starts and wrong estimates.
 pub const SLACK_USE: f64 = 0.85;
+/// ms over which arriving deadline work is counted: long, since jobs differ much in size.
+pub const INFLOW_MS: u64 = 240_000;
+/// Part of the room that such work takes that the fleet's sizing keeps for what is to come.
+pub const INFLOW_USE: f64 = 0.25;
 /// Run times after its boot that a machine rented for a deadline needs to be of use for it.
 pub const RUN_ROOM: f64 = 1.2;
 /// Run times after its boot in which rented machines are to finish what is late.
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -56,6 +56,8 @@
     /// When urgent services arrived of late.
     arrivals: VecDeque<Ms>,
     departures: VecDeque<Ms>,
+    /// Work with a deadline that came of late: when, its CPU-seconds, and how long a task runs.
+    came: VecDeque<(Ms, f64, f64)>,
 }
 
 /// Room as the sizing sees it.
@@ -87,6 +89,7 @@
             usual: None,
             arrivals: VecDeque::new(),
             departures: VecDeque::new(),
+            came: VecDeque::new(),
         }
     }
 }
@@ -257,6 +260,31 @@
         ctx.set.tuning.spare_tasks + growth * boot + (rate * boot).sqrt()
     }
 
+    /// Work with a deadline came, so long ago.
+    pub fn dated_arrival(&mut self, now: Ms, age_ms: u64, spec: &JobSpec) {
+        let run = self.sched.mean_s(spec);
+        let work = f64::from(spec.tasks) * spec.cpus * run;
+        let at = now.saturating_sub(age_ms);
+        let old = |c: &(Ms, f64, f64)| now > c.0 + k::INFLOW_MS;
+        self.fleet.came.retain(|c| !old(c));
+        if age_ms < k::INFLOW_MS {
+            self.fleet.came.push_back((at, work, run));
+        }
+    }
+
+    /// CPUs that work with deadlines would keep busy if it kept coming as it did of late: only
+    /// what goes before tasks that run so long, since what finishes soonest goes first.
+    fn inflow(&self, now: Ms, run: f64) -> f64 {
+        let recent = |c: &&(Ms, f64, f64)| now <= c.0 + k::INFLOW_MS;
+        let came = self.fleet.came.iter().filter(recent);
+        let first = came.clone().map(|c| c.0).min().unwrap_or(now);
+        let sum: f64 = came.filter(|c| c.2 < run).map(|c| c.1).sum();
+        let span = now
+            .saturating_sub(first)
+            .clamp(k::INFLOW_MS / 2, k::INFLOW_MS);
+        sum / (span as f64 / 1e3)
+    }
+
     /// An urgent service ended.
     pub fn urgent_departure(&mut self, now: Ms) {
         self.fleet.departures.push_back(now);
@@ -479,12 +507,17 @@
         // not rented for, though it may have to wait.
         dated.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut cpus = self.dated_cpus(&bins);
+        let have: f64 = cpus.iter().map(|c| c.0).sum();
         let mut work = self.dated_running();
         for (due, run, s, n) in dated {
             work += n as f64 * s.cpus * run;
             // What cpus that are up after `eta` can do by then; the last run must fit in.
             let use_s = |eta: f64| (due - eta - run * 0.5).max(0.0) * ctx.set.tuning.slack_use;
+            // What is still to come and will go first takes its part of them: without that,
+            // long tasks with a late deadline would be put off until it is too late for them.
+            let coming = ctx.set.tuning.inflow_use * self.inflow(now, run) / have.max(1.0);
             let can: f64 = cpus.iter().map(|(c, eta)| c * use_s(*eta)).sum();
+            let can = can * (1.0 - coming).max(0.0);
             let short = work - can;
             if short <= 0.0 {
                 continue;
--- a/crates/control/src/leader/jobs.rs
+++ b/crates/control/src/leader/jobs.rs
@@ -23,6 +23,11 @@
                         spec.class
                     );
                     let at = j.record.at;
+                    let spec = spec.clone();
+                    if spec.deadline_s.is_some() && !self.works.contains_key(&id) {
+                        let age = ctx.now.wall_ms.saturating_sub(at);
+                        self.dated_arrival(ctx.now.ms, age, &spec);
+                    }
                     let new = !self.works.contains_key(&id) && self.stage == Stage::Active;
                     if new && spec.kind == JobKind::Service && spec.priority >= Priority::High {
                         let now = ctx.now.ms;
@@ -33,7 +38,7 @@
                     let work = self
                         .works
                         .entry(id.clone())
-                        .or_insert_with(|| Work::new(spec.clone(), at));
+                        .or_insert_with(|| Work::new(spec, at));
                     for index in self.machines.present_of(&id) {
                         work.take(index);
                     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -19,6 +19,8 @@
     pub idle_boots: f64,
     /// Part of the time to a deadline the fleet is sized for.
     pub slack_use: f64,
+    /// Part of the room that arriving deadline work takes, as of late, that is kept for it.
+    pub inflow_use: f64,
     /// ms the leader key outlives its last renewal.
     pub leader_ttl_ms: u64,
     /// ms between mappings.
@@ -31,6 +33,7 @@
             spare_tasks: k::SPARE_TASKS,
             idle_boots: k::IDLE_BOOTS,
             slack_use: k::SLACK_USE,
+            inflow_use: k::INFLOW_USE,
             leader_ttl_ms: k::LEADER_TTL_MS,
             map_ms: k::MAP_MS,
         }
--- a/crates/stonegwd/src/settings.rs
+++ b/crates/stonegwd/src/settings.rs
@@ -95,6 +95,7 @@
     spare_tasks: Option<f64>,
     idle_boots: Option<f64>,
     slack_use: Option<f64>,
+    inflow_use: Option<f64>,
     leader_ttl_s: Option<f64>,
     mapping_s: Option<f64>,
 }
@@ -145,6 +146,9 @@
     if let Some(v) = o.slack_use {
         t.slack_use = within("slack_use", v, 0.05, 1.0)?;
     }
+    if let Some(v) = o.inflow_use {
+        t.inflow_use = within("inflow_use", v, 0.0, 2.0)?;
+    }
     if let Some(v) = o.leader_ttl_s {
         t.leader_ttl_ms = (within("leader_ttl_s", v, 1.0, 600.0)? * 1e3) as u64;
     }
