--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -268,9 +268,9 @@
 pub const MAKING_ROOM_MS: u64 = 3_000;
 /// ms after its submission from which a job without a start goes before all but urgent work: the
 /// largest jobs must begin within four minutes, whatever else arrives.
-pub const OVERDUE_MS: u64 = 120_000;
+pub const OVERDUE_MS: u64 = 150_000;
 /// ms without a further start after which it does so again.
-pub const OVERDUE_AGAIN_MS: u64 = 60_000;
+pub const OVERDUE_AGAIN_MS: u64 = 180_000;
 /// One in so many of its tasks goes first then.
 pub const OVERDUE_PART: usize = 8;
 
@@ -318,7 +318,7 @@
 /// ms over which arriving deadline work is counted: long, since jobs differ much in size.
 pub const INFLOW_MS: u64 = 240_000;
 /// Part of the room that such work takes that the fleet's sizing keeps for what is to come.
-pub const INFLOW_USE: f64 = 0.25;
+pub const INFLOW_USE: f64 = 0.15;
 /// Run times after its boot that a machine rented for a deadline needs to be of use for it.
 pub const RUN_ROOM: f64 = 1.2;
 /// Run times after its boot in which rented machines are to finish what is late.
