--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -61,4 +61,5 @@
     repeated_command,
     forgotten,
     large_job,
+    huge_job,
 );
