--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod ledger;
 pub mod node;
 pub mod overdue;
+pub mod preempt;
 pub mod records;
 pub mod replica;
 pub mod schedule;
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -89,8 +89,11 @@
             .far
             .entry(report.machine.clone())
             .or_insert_with(|| (report.clone(), true, 0));
-        entry.1 |= entry.0.tasks != report.tasks || entry.0.session != report.session;
-        entry.0 = report;
+        // A late copy of an older report must not replace a newer one.
+        if (report.session, report.seq) > (entry.0.session, entry.0.seq) {
+            entry.1 |= entry.0.tasks != report.tasks || entry.0.session != report.session;
+            entry.0 = report;
+        }
     }
 
     /// Hands reports on, the longest unheard first, as many as the budget allows.
