Reports from a cut zone share records

Ruled out: machines that don't hear us (their commands failed for the cut; none was returned for that).

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -162,6 +162,11 @@
 /// ms between two reports of a machine handed on through the state service, if nothing
 /// changed.
 pub const FAR_REPEAT_MS: u64 = 6_000;
+/// Records in which a node hands reports on in turn: twice as many of the usual size as one
+/// transaction can hold, so that none is soon written over.
+pub const FAR_SLOTS: usize = 16;
+/// Bytes of JSON that such a record takes besides its reports.
+pub const FAR_HEAD_BYTES: usize = 200;
 /// ms between two transactions with such reports.
 pub const FAR_GAP_MS: u64 = 1_000;
 /// Part of the machines that may fall silent at once before the leader takes it for its own
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -185,6 +185,7 @@
     /// Reports to be handed on through the state service, and when each last was.
     far: BTreeMap<String, (Report, bool, Ms)>,
     far_at: Ms,
+    far_slot: usize,
     /// Machines answered without the leader: since when, or when last sent to try it.
     redirected: HashMap<String, Ms>,
     /// Not to stand for election before.
@@ -240,6 +241,7 @@
             release: vec![],
             far: BTreeMap::new(),
             far_at: 0,
+            far_slot: 0,
             redirected: HashMap::new(),
             stand_at: 0,
             resigned_at: None,
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -112,34 +112,41 @@
             .map(|(m, (_, _, at))| (*at, m.clone()))
             .collect();
         due.sort();
-        due.truncate((self.writes.level(now).max(0.0) as usize).min(self.set.txn_ops));
-        if due.is_empty() || !self.reads.take(now, 1.0) {
+        let most = (self.writes.level(now).max(0.0) as usize).min(self.set.txn_ops);
+        if due.is_empty() || most == 0 || !self.reads.take(now, 1.0) {
             return;
         }
         let mut txn = Txn {
             conditions: vec![],
             writes: vec![],
         };
-        let mut bytes = k::TXN_MARGIN;
+        // As many reports as a record holds, as many records as the budget allows. Records are
+        // written over in turn; whoever reads them tells the newer report by its number.
+        let (mut batch, mut bytes, mut total) = (vec![], 0, k::TXN_MARGIN);
         for (_, machine) in due {
             let Some((report, changed, at)) = self.far.get_mut(&machine) else {
                 continue;
             };
-            let value = Value::Far(Box::new(FarRecord {
-                via: self.set.node.clone(),
-                report: report.clone(),
-            }));
-            let size = json_len(&value);
-            if size > self.set.value_bytes || bytes + size > k::TXN_BYTES {
+            let size = json_len(report) + 1;
+            let room = self.set.value_bytes.saturating_sub(k::FAR_HEAD_BYTES);
+            if size > room || total + size > k::TXN_BYTES {
                 continue;
             }
-            bytes += size + 100;
+            if bytes + size > room {
+                let full = far_write(&self.set.node, &mut self.far_slot, &mut batch);
+                txn.writes.push(full);
+                bytes = 0;
+                if txn.writes.len() >= most {
+                    break;
+                }
+            }
+            (bytes, total) = (bytes + size, total + size);
             (*changed, *at) = (false, now);
-            txn.writes.push(Write::Put {
-                key: records::far_key(&machine),
-                value,
-                lease: None,
-            });
+            batch.push(report.clone());
+        }
+        if !batch.is_empty() {
+            let rest = far_write(&self.set.node, &mut self.far_slot, &mut batch);
+            txn.writes.push(rest);
         }
         if txn.writes.is_empty() {
             return;
@@ -285,3 +292,15 @@
         }
     }
 }
+
+/// A record of reports, in the next of a node's slots.
+fn far_write(node: &str, slot: &mut usize, batch: &mut Vec<Report>) -> Write<Value> {
+    *slot = (*slot + 1) % k::FAR_SLOTS;
+    let reports = std::mem::take(batch);
+    let via = node.to_owned();
+    Write::Put {
+        key: records::far_key(node, *slot),
+        value: Value::Far(Box::new(FarRecord { via, reports })),
+        lease: None,
+    }
+}
--- a/crates/control/src/records.rs
+++ b/crates/control/src/records.rs
@@ -4,7 +4,7 @@
 //! | --- | --- | --- |
 //! | `c/leader` | whoever is elected, under its lease | name, nonce and lease; its stamp is the term |
 //! | `c/j/<job>` | any node | the submission and how it ended |
-//! | `c/r/<machine>` | a node that can't reach the leader | the machine's report, handed on |
+//! | `c/r/<node>/<slot>` | a node that can't reach the leader | machines' reports, handed on |
 //! | `d/<job>/<chunk>` | the leader | finished tasks of one chunk, as a bitmap |
 //! | `m/<number>` | the leader | what may be on a group of machines |
 use base64::{engine::general_purpose::STANDARD_NO_PAD, Engine};
@@ -24,8 +24,8 @@
 pub fn done_key(job: &str, chunk: u32) -> String {
     format!("{DONE}{job}/{chunk}")
 }
-pub fn far_key(machine: &str) -> String {
-    format!("{FAR}{machine}")
+pub fn far_key(node: &str, slot: usize) -> String {
+    format!("{FAR}{node}/{slot}")
 }
 pub fn shard_key(shard: u32) -> String {
     format!("{MACHINES}{shard}")
@@ -94,11 +94,12 @@
     Far(Box<FarRecord>),
 }
 
-/// A worker's report on its way to a leader that its node can't reach.
+/// Workers' reports on their way to a leader that their node can't reach: many in one record,
+/// since a cut may part a hundred machines from the leader and changes are scarce.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FarRecord {
     pub via: String,
-    pub report: Report,
+    pub reports: Vec<Report>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,6 +1,6 @@
 //! Every node's copy of what stands under `c/`: the jobs and who leads.
-use crate::records::{Common, End, JobRecord, LeaderRecord, FAR, JOBS, LEADER};
-use std::collections::{BTreeSet, HashMap};
+use crate::records::{Common, End, JobRecord, LeaderRecord, JOBS, LEADER};
+use std::collections::HashMap;
 use stonegw_wire::msg::{Change, Changes, Entry, Report};
 
 #[derive(Clone, Debug)]
@@ -22,8 +22,6 @@
     pub changed: Vec<String>,
     /// Reports handed on by nodes that can't reach the leader.
     pub far: Vec<Report>,
-    /// Machines that have such a record.
-    pub far_keys: BTreeSet<String>,
 }
 
 impl Replica {
@@ -44,8 +42,7 @@
             }
             // The order of reports is in themselves; a late one is told by its number.
             Common::Far(f) => {
-                self.far_keys.insert(f.report.machine.clone());
-                self.far.push(f.report);
+                self.far.extend(f.reports);
             }
             Common::Leader(_) => log::warn!("unexpected record at {key}"),
         }
@@ -68,9 +65,6 @@
     }
 
     fn delete(&mut self, key: &str, version: u64) {
-        if let Some(machine) = key.strip_prefix(FAR) {
-            self.far_keys.remove(machine);
-        }
         if key == LEADER && version > self.leader_version {
             self.leader_version = version;
             self.leader = None;
