--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -38,4 +38,5 @@
 mutant large_job expect "overdue.rs" 's/if waited && w\.owed == 0/if false \&\& waited/'
 mutant back_at_once expect "node/elect.rs" 's/conditions: vec!\[Condition \{\s+key: LEADER\.into\(\),\s+version: 0,\s+\}\],/conditions: vec![],/'
 mutant large_zone_cut expect "node/relay.rs" 's/if bytes \+ size > room \{/if !batch.is_empty() {/'
+mutant many_deaf expect "leader/silence.rs" 's/if many_deaf \{ 3 \* lease_ms/if false { 3 * lease_ms/'
 exit $bad
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -63,4 +63,6 @@
     large_job,
     huge_job,
     large_zone_cut,
+    many_deaf,
+    all_at_once,
 );
