Read again: one way to check a team, send a transaction, hear a machine's answer

Twins made one (limit and guarantee, three transactions of a node, the report in a direct or inspected answer), one pass over machines with unsent placements instead of two, sums take the old entry out before the new one goes in, wrappers and a parameter that was always 1 gone. An exited task that is adopted no longer puts its machine into a record: the machine could then stand in two.

--- a/crates/control/src/leader/command.rs
+++ b/crates/control/src/leader/command.rs
@@ -136,36 +136,28 @@
         runs: Vec<u64>,
         r: CallResult,
     ) {
+        match self.machines.edit(id) {
+            Some(mut m) => m.do_open = None,
+            None => return,
+        }
+        if let Ok((200 | 409, body)) = &r {
+            if self.hear_answer(ctx, id, body) {
+                return;
+            }
+        }
         let Some(mut m) = self.machines.edit(id) else {
             return;
         };
-        m.do_open = None;
-        match r {
-            Ok((200 | 409, body)) => match decode::<Report>(&body) {
-                Ok(report) if report.machine == id => {
-                    drop(m);
-                    if report.token > self.term {
-                        self.deposed = true;
-                        return;
-                    }
-                    self.hear(ctx, report, false);
-                    self.take_exits(ctx, id);
-                    return;
+        log::debug!("direct command to {id}: {}", describe(&r));
+        m.missed(ctx.now.ms);
+        if r == Err(CallError::NotSent) {
+            for p in m.placements.iter_mut() {
+                if runs.contains(&p.attempt) && p.phase == Phase::Sent && p.sent_seq == 0 {
+                    p.set_phase(Phase::Ready);
                 }
-                _ => log::warn!("answer of {id} not understood"),
-            },
-            Err(CallError::NotSent) => {
-                for p in m.placements.iter_mut() {
-                    if runs.contains(&p.attempt) && p.phase == Phase::Sent && p.sent_seq == 0 {
-                        p.set_phase(Phase::Ready);
-                    }
-                }
-                m.missed(ctx.now.ms, 1);
-                return;
             }
-            other => log::debug!("direct command to {id}: {}", describe(&other)),
+            return;
         }
-        m.missed(ctx.now.ms, 1);
         // It may still arrive, minutes late, for as long as this session lasts.
         if m.session == session && !runs.is_empty() {
             m.do_lost = true;
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -77,7 +77,7 @@
         if took_token || !beat {
             m.reached();
         } else if unheard || !m.under_token && m.answered > 1 {
-            m.missed(now, 1);
+            m.missed(now);
         }
         if beat {
             m.answered += 1;
@@ -108,6 +108,25 @@
         true
     }
 
+    /// Takes in the report in a machine's own answer. False: it is none.
+    pub(super) fn hear_answer(&mut self, ctx: &mut Ctx, id: &str, body: &[u8]) -> bool {
+        match decode::<Report>(body) {
+            Ok(report) if report.machine == id => {
+                if report.token > self.term {
+                    self.deposed = true;
+                } else {
+                    self.hear(ctx, report, false);
+                    self.take_exits(ctx, id);
+                }
+                true
+            }
+            _ => {
+                log::warn!("answer of {id} not understood");
+                false
+            }
+        }
+    }
+
     /// Compares a machine's newest report with what we hold.
     fn compare(&mut self, ctx: &mut Ctx, id: &str, tasks: &[TaskReport], beat: bool) {
         let now = ctx.now.ms;
@@ -182,7 +201,7 @@
         if heeded {
             m.reached();
         } else if missed {
-            m.missed(now, 1);
+            m.missed(now);
         }
         drop(m);
         if !gone.is_empty() {
@@ -208,8 +227,11 @@
             .jobs
             .get(job)
             .and_then(|j| j.record.spec.as_ref());
-        let wanted = !self.is_present(job, index) && self.works.contains_key(job);
-        let shard = self.shard_for(id, job, true);
+        let wanted = !self.machines.is_present(job, index) && self.works.contains_key(job);
+        // What has exited needs no record.
+        let shard = phase_present(phase)
+            .then(|| self.shard_for(id, job, true))
+            .flatten();
         let Some(mut m) = self.machines.edit(id) else {
             return;
         };
--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -6,7 +6,7 @@
     /// on, for there is no room in the record.
     pub fn place(&mut self, machine: &str, job: &str, index: u32) -> bool {
         // The last guard against running twice, whatever went wrong before.
-        if self.is_present(job, index) {
+        if self.machines.is_present(job, index) {
             log::error!("{job}/{index} may already be on a machine; not placed again");
             if let Some(w) = self.works.get_mut(job) {
                 w.take(index);
@@ -97,11 +97,6 @@
         }
     }
 
-    /// Whether the task may be on some machine.
-    pub(super) fn is_present(&self, job: &str, index: u32) -> bool {
-        self.machines.is_present(job, index)
-    }
-
     /// Everything on the machine is proven gone.
     pub(super) fn all_gone(&mut self, id: &str, how: Gone) {
         let Some(mut m) = self.machines.edit(id) else {
--- a/crates/control/src/leader/silence.rs
+++ b/crates/control/src/leader/silence.rs
@@ -60,7 +60,8 @@
                 work.is_some_and(|w| w.urgent())
             })
         };
-        let (mut lost, mut closing) = (vec![], vec![]);
+        // Where unsent placements are to be taken back: all of them, or those of ended jobs.
+        let (mut lost, mut unsent) = (vec![], vec![]);
         for m in self.machines.values() {
             let quiet = m.quiet(now, report_s);
             let quiet_ms = now.saturating_sub(m.heard.unwrap_or(m.known_since));
@@ -88,8 +89,13 @@
                 }
             }
             let no_more = matches!(m.life, Life::Draining | Life::Deleting) || quiet || m.deaf();
-            if no_more && (!m.placements.is_empty() || !m.held.is_empty()) {
-                closing.push(m.id.clone());
+            let any = !m.placements.is_empty() || !m.held.is_empty();
+            let ended = |p: &Placement| {
+                matches!(p.phase, Phase::New | Phase::Ready)
+                    && (p.stop.is_some() || !self.works.contains_key(&p.job))
+            };
+            if no_more && any || m.placements.iter().any(ended) {
+                unsent.push((m.id.clone(), no_more));
             }
         }
         for id in lost {
@@ -98,23 +104,8 @@
                 m.set_life(Life::Deleting);
             }
         }
-        for id in closing {
-            self.take_unsent(&id, true);
-        }
-        // Unsent placements of jobs that ended, wherever they are.
-        let ended: Vec<String> = self
-            .machines
-            .values()
-            .filter(|m| {
-                m.placements.iter().any(|p| {
-                    matches!(p.phase, Phase::New | Phase::Ready)
-                        && (p.stop.is_some() || !self.works.contains_key(&p.job))
-                })
-            })
-            .map(|m| m.id.clone())
-            .collect();
-        for id in ended {
-            self.take_unsent(&id, false);
+        for (id, closing) in unsent {
+            self.take_unsent(&id, closing);
         }
         self.deleted.retain(|_, at| now < *at + k::DELETED_MS);
     }
@@ -140,14 +131,8 @@
     }
 
     pub(super) fn inspected(&mut self, ctx: &mut Ctx, id: &str, result: CallResult) {
-        let Ok((200, body)) = result else { return };
-        match decode::<Report>(&body) {
-            Ok(report) if report.machine == id && report.token <= self.term => {
-                self.hear(ctx, report, false);
-                self.take_exits(ctx, id);
-            }
-            Ok(report) if report.machine == id => self.deposed = true,
-            _ => log::warn!("answer of {id} not understood"),
+        if let Ok((200, body)) = result {
+            self.hear_answer(ctx, id, &body);
         }
     }
 
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -123,7 +123,8 @@
             return;
         }
         let mut draft = Draft::new(self.term, most);
-        self.flush_urgent(ctx, &mut draft);
+        // Placements of urgent work are counted in seconds.
+        self.flush_shards(ctx, &mut draft, |s| s.stored.dirty && s.urgent);
         self.flush_ends(ctx, &mut draft);
         // The rest waits for company, and leaves urgent placements their budget.
         let ops = ctx.set.txn_ops as f64;
@@ -164,11 +165,6 @@
         ctx.call(call, Target::State, "POST", "/multi".into(), body, wait);
     }
 
-    /// Placements of urgent work, which is counted in seconds.
-    fn flush_urgent(&mut self, ctx: &Ctx, draft: &mut Draft) {
-        self.flush_shards(ctx, draft, |s| s.stored.dirty && s.urgent);
-    }
-
     /// Jobs of which all tasks are done: users wait for it.
     fn flush_ends(&mut self, ctx: &Ctx, draft: &mut Draft) {
         for id in &self.due {
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -112,9 +112,6 @@
 }
 
 impl Stored {
-    pub fn known(&self) -> bool {
-        self.version.is_some()
-    }
     pub fn absent() -> Stored {
         Stored::at(0)
     }
@@ -267,11 +264,11 @@
         self.set_reach(Reach::Fine);
     }
 
-    /// What we sent had no effect, so many times more.
-    pub fn missed(&mut self, now: Ms, n: u32) {
+    /// What we sent had no effect, once more.
+    pub fn missed(&mut self, now: Ms) {
         let misses = match self.reach {
-            Reach::Fine => n,
-            Reach::Doubtful { misses } => misses + n,
+            Reach::Fine => 1,
+            Reach::Doubtful { misses } => misses + 1,
             Reach::Deaf { .. } => return,
         };
         if misses >= k::DEAF_MISSES {
@@ -537,15 +534,8 @@
             return;
         }
         let new = Shown::of(m);
-        self.add(&m.id, &new, 1);
         self.add(&m.id, &m.shown, -1);
-        // Flags that stay on went off with the old entry.
-        if new.commands {
-            self.commands.insert(m.id.clone());
-        }
-        if new.deleting {
-            self.deleting.insert(m.id.clone());
-        }
+        self.add(&m.id, &new, 1);
         m.shown = new;
     }
 }
--- a/crates/control/src/node/elect.rs
+++ b/crates/control/src/node/elect.rs
@@ -255,14 +255,7 @@
                 lease: Some(lease),
             }],
         };
-        let call = self.out.call(
-            Target::State,
-            "POST",
-            "/multi".into(),
-            encode(&txn),
-            k::STATE_TIMEOUT_MS,
-        );
-        self.calls.insert(call, Call::Claim { lease });
+        self.transact(&txn, Call::Claim { lease });
         self.set_role(Role::Claiming { lease });
     }
 
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -375,6 +375,15 @@
         self.leader = Some(leader);
     }
 
+    /// Sends a transaction to the state service.
+    fn transact(&mut self, txn: &Txn<Value>, what: Call) {
+        let (body, wait) = (encode(txn), k::STATE_TIMEOUT_MS);
+        let call = self
+            .out
+            .call(Target::State, "POST", "/multi".into(), body, wait);
+        self.calls.insert(call, what);
+    }
+
     // ---- Answers to our calls -------------------------------------------------------------
 
     fn state_seen(&mut self, result: &CallResult) {
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -152,14 +152,7 @@
             return;
         }
         self.writes.force(now, txn.writes.len() as f64);
-        let call = self.out.call(
-            Target::State,
-            "POST",
-            "/multi".into(),
-            encode(&txn),
-            k::STATE_TIMEOUT_MS,
-        );
-        self.calls.insert(call, Call::Far);
+        self.transact(&txn, Call::Far);
     }
 
     /// Neither the state service nor any other node is heard: we are most likely cut off, and
--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -251,14 +251,7 @@
         self.reads.force(now, 1.0);
         self.writes.force(now, batch.len() as f64);
         self.storing += 1;
-        let call = self.out.call(
-            Target::State,
-            "POST",
-            "/multi".into(),
-            encode(&txn),
-            k::STATE_TIMEOUT_MS,
-        );
-        self.calls.insert(call, Call::Store { batch });
+        self.transact(&txn, Call::Store { batch });
     }
 
     pub(super) fn stored(&mut self, batch: Vec<Pending>, result: CallResult) {
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -120,7 +120,7 @@
 
 /// What a task takes and where it may go, as far as that says whether there is room for it:
 /// jobs alike in this find room or none alike.
-#[derive(PartialEq)]
+#[derive(Clone, PartialEq)]
 struct Shape {
     size: (f64, f64, f64),
     types: Option<Vec<String>>,
@@ -161,7 +161,6 @@
 
 /// A job with waiting tasks, standing for each of them.
 struct Candidate {
-    job: String,
     spec: JobSpec,
     due: f64,
     left: usize,
@@ -214,24 +213,25 @@
             && mem + k::EPSILON >= spec.memory_gb
     }
 
+    /// Whether one more task keeps its team within so many CPUs and cards, besides `extra`.
+    fn within(&self, spec: &JobSpec, most: Option<(f64, f64)>, extra: (f64, f64)) -> bool {
+        let (c, g) = self.machines.team(&spec.team);
+        most.is_some_and(|most| {
+            c + extra.0 + spec.cpus <= most.0 + k::EPSILON
+                && g + extra.1 + spec.gpus <= most.1 + k::EPSILON
+        })
+    }
+
     /// Whether the team's limit leaves room for one more task, besides `extra` CPUs and cards.
     pub fn allows(&self, ctx: &Ctx, spec: &JobSpec, extra: (f64, f64)) -> bool {
-        let Some(t) = ctx.set.team(&spec.team) else {
-            return false;
-        };
-        let (c, g) = self.machines.team(&spec.team);
-        c + extra.0 + spec.cpus <= t.cpus_max + k::EPSILON
-            && g + extra.1 + spec.gpus <= t.gpus_max + k::EPSILON
+        let team = ctx.set.team(&spec.team);
+        self.within(spec, team.map(|t| (t.cpus_max, t.gpus_max)), extra)
     }
 
     /// Whether one more task stays within the team's guarantee.
     pub fn guaranteed(&self, ctx: &Ctx, spec: &JobSpec, extra: (f64, f64)) -> bool {
-        let Some(t) = ctx.set.team(&spec.team) else {
-            return false;
-        };
-        let (c, g) = self.machines.team(&spec.team);
-        c + extra.0 + spec.cpus <= t.cpus + k::EPSILON
-            && g + extra.1 + spec.gpus <= t.gpus + k::EPSILON
+        let team = ctx.set.team(&spec.team);
+        self.within(spec, team.map(|t| (t.cpus, t.gpus)), extra)
     }
 
     pub fn schedule(&mut self, ctx: &mut Ctx) {
@@ -348,7 +348,7 @@
                 && self.allows(ctx, &w.spec, (0.0, 0.0))
                 && !self.preempt(ctx, &job, &mut claims, false)
             {
-                hopeless.extend(shape.as_ref().and_then(|_| Shape::of(&self.works[&job])));
+                hopeless.extend(shape.clone());
             }
             none.extend(shape);
         }
@@ -477,7 +477,8 @@
                 c.best = None;
                 continue;
             };
-            let (Some(w), Some(m)) = (self.works.get(&c.job), self.machines.get(&seat.id)) else {
+            let (Some(w), Some(m)) = (self.works.get(&c.spec.id), self.machines.get(&seat.id))
+            else {
                 break;
             };
             let Some(index) = w.next_fresh() else {
@@ -492,7 +493,7 @@
                 None => runs.run.shift(self.fetch_s(m, &c.spec)),
                 Some(at) => at.curve.convolve(&runs.run),
             };
-            let (id, job) = (seat.id.clone(), c.job.clone());
+            let (id, job) = (seat.id.clone(), c.spec.id.clone());
             if start.wait.is_none() {
                 if !self.place(&id, &job, index) {
                     continue;
@@ -515,7 +516,7 @@
     /// Whether a job's best machine is still in a zone where the job may go.
     fn fits(&self, seats: &[Seat], c: &Candidate) -> bool {
         let place = c.best.and_then(|b| self.machines.get(&seats[b.seat].id));
-        let work = self.works.get(&c.job);
+        let work = self.works.get(&c.spec.id);
         matches!((place, work), (Some(m), Some(w)) if zone_allows(&self.machines, w, &m.zone))
     }
 
@@ -527,7 +528,7 @@
             present[s.kind] = true;
         }
         let mut out = vec![];
-        for (id, w) in &self.works {
+        for w in self.works.values() {
             if immediate(w) || w.ending || now < w.retry_at || w.pending.is_empty() {
                 continue;
             }
@@ -551,7 +552,6 @@
                 })
             });
             out.push(Candidate {
-                job: id.clone(),
                 due,
                 left,
                 rank: (w.spec.priority, false),
@@ -576,7 +576,7 @@
 
     /// The machine with the best chance for the job's next task.
     fn best_offer(&self, seats: &mut [Seat], c: &Candidate) -> Option<Best> {
-        let w = self.works.get(&c.job)?;
+        let w = self.works.get(&c.spec.id)?;
         let spec = &c.spec;
         let mut best: Option<Best> = None;
         for (i, seat) in seats.iter_mut().enumerate() {
@@ -617,7 +617,7 @@
                 spare: seat.queue.cpus - spec.cpus,
             };
             let better = best.as_ref().is_none_or(|b| offer.beats(&b.offer));
-            if better && self.suits(m, w) && !self.is_kept(&m.id, &c.job) {
+            if better && self.suits(m, w) && !self.is_kept(&m.id, &c.spec.id) {
                 best = Some(Best {
                     seat: i,
                     at: seat.changes,
