State changes and sizing for far larger fleets; stand-ins play 1,800 machines

Transactions of eight changes went out each 0.3 s however much was due; results of a hundred jobs, each 2 s, went first; and records went by number, so that the last waited for ever. Now a full transaction is followed at once by the next, the record that waits longest goes first, results have a quarter of each transaction and wait the longer the more jobs have some. The leader's part of the changes is 0.7 instead of 0.6: followers store few submissions. Where starts and finishes are promised besides the deadline (settings' objectives), they are targets, and what comes is counted before what is late. Ruled out: the controllers' processor (mean 0.2 of its share), refused requests (none), refused capacity.

The stand-ins look at a worker only when something is due, and page the machine list. Trace large_fleet: 1,800 machines, a cut zone of 900, a hundred that hang, eighty that die, an outage in which all controllers end. The leader tells each 10 s how the fleet and the work stand.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -94,7 +94,7 @@
 /// share the rest. Users ask all nodes alike, and each answer needs a read; of the changes most
 /// are placements.
 pub const LEADER_READS: f64 = 0.45;
-pub const LEADER_WRITES: f64 = 0.6;
+pub const LEADER_WRITES: f64 = 0.7;
 /// ms between the end of a follower's watch and the next: changes that come together are told
 /// together. The leader asks again at once, since work waits for it.
 pub const WATCH_GAP_MS: u64 = 200;
@@ -128,6 +128,11 @@
 /// ms that results of a job wait, so that one write holds several. The worker shows them until
 /// they are stored; a job's last result does not wait.
 pub const RESULTS_MS: u64 = 2_000;
+/// Part of the leader's changes that results take at most on average: with more jobs at work each
+/// result waits longer. The worker goes on telling them, so nothing is lost by it.
+pub const RESULTS_PART: f64 = 0.2;
+/// One in so many changes of a transaction is open to results before placements.
+pub const RESULTS_SHARE: usize = 4;
 
 // ---- Leadership -------------------------------------------------------------------------
 
@@ -221,6 +226,9 @@
 /// Resources below this are rounding, not room.
 pub const EPSILON: f64 = 1e-6;
 
+/// ms between two lines in the log on how the fleet and the work stand.
+pub const SUMMARY_MS: u64 = 10_000;
+
 // ---- Scheduling (DESIGN: "Its figures are open") ------------------------------------------
 
 /// ms between mappings (DESIGN: each second).
@@ -324,6 +332,8 @@
 pub const INFLOW_MS: u64 = 240_000;
 /// Part of the room that such work takes that the fleet's sizing keeps for what is to come.
 pub const INFLOW_USE: f64 = 0.15;
+/// The same for work that is late: all that comes goes before it.
+pub const INFLOW_LATE: f64 = 1.0;
 /// Run times after its boot that a machine rented for a deadline needs to be of use for it.
 pub const RUN_ROOM: f64 = 1.2;
 /// Run times after its boot in which rented machines are to finish what is late.
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -217,7 +217,7 @@
                     }
                 }
                 Life::Draining if m.idle() && !unsettled => m.set_life(Life::Deleting),
-                Life::Up if m.idle() && !unsettled => {
+                Life::Up if m.idle() => {
                     let since = *m.idle_since.get_or_insert(now);
                     let room = match (&usual, m.spot) {
                         (Some(s), false) => types
@@ -233,7 +233,7 @@
                         .find(|t| t.name == m.kind)
                         .map_or(0.0, |t| t.boot_s);
                     let patience = (boot * idle_boots * 1e3) as u64;
-                    if now >= since + patience && !kept {
+                    if now >= since + patience && !kept && !unsettled {
                         spare -= room;
                         m.set_life(Life::Deleting);
                     }
@@ -433,7 +433,7 @@
             .iter()
             .map(|t| t.boot_s)
             .fold(f64::MAX, f64::min);
-        let mut dated: Vec<(f64, f64, JobSpec, usize)> = vec![];
+        let mut dated: Vec<(f64, f64, JobSpec, usize, bool)> = vec![];
         // Urgent first.
         let mut wants: Vec<(Priority, f64, JobSpec, usize)> = vec![];
         for (id, w) in &self.works {
@@ -452,14 +452,19 @@
             let due = w.due_s(ctx.now.wall_ms);
             if let Some(due) = due {
                 let run = self.sched.mean_s(s).max(1.0);
-                // What a machine rented now would not finish in time is late either way: then
-                // few machines that work for a while are better than many for one run each.
-                let due = if due < boot + run * k::RUN_ROOM {
-                    boot + run * k::LATE_ROOM
-                } else {
-                    due
-                };
-                dated.push((due, run, s.clone(), n));
+                // What a machine rented now would not finish in time is late either way, by its
+                // deadline and by all that is promised of its class: then few machines that work
+                // for a while are better than many for one run each.
+                let age = ctx.now.wall_ms.saturating_sub(w.at) as f64 / 1e3;
+                let promises = ctx.set.promised(&s.class, run).map(|p| p - age);
+                let reachable = boot + run * k::RUN_ROOM;
+                let next = promises.chain([due]).filter(|d| *d >= reachable);
+                let next = next.min_by(f64::total_cmp);
+                let due = next.unwrap_or(boot + run * k::LATE_ROOM);
+                // Where more than the deadline is promised, lateness goes on to matter.
+                let mut promised = ctx.set.promised(&s.class, run);
+                let late = next.is_none() && promised.next().is_some();
+                dated.push((due, run, s.clone(), n, late));
                 continue;
             }
             let due = 0.0;
@@ -509,13 +514,19 @@
         let mut cpus = self.dated_cpus(&bins);
         let have: f64 = cpus.iter().map(|c| c.0).sum();
         let mut work = self.dated_running();
-        for (due, run, s, n) in dated {
+        for (due, run, s, n, late) in dated {
             work += n as f64 * s.cpus * run;
             // What cpus that are up after `eta` can do by then; the last run must fit in.
             let use_s = |eta: f64| (due - eta - run * 0.5).max(0.0) * ctx.set.tuning.slack_use;
             // What is still to come and will go first takes its part of them: without that,
             // long tasks with a late deadline would be put off until it is too late for them.
-            let coming = ctx.set.tuning.inflow_use * self.inflow(now, run) / have.max(1.0);
+            // All that comes goes before what is late.
+            let coming = if late {
+                k::INFLOW_LATE * self.inflow(now, f64::MAX)
+            } else {
+                ctx.set.tuning.inflow_use * self.inflow(now, run)
+            };
+            let coming = coming / have.max(1.0);
             let can: f64 = cpus.iter().map(|(c, eta)| c * use_s(*eta)).sum();
             let can = can * (1.0 - coming).max(0.0);
             let short = work - can;
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -251,7 +251,7 @@
         m.shard = shard;
         drop(m);
         if let Some(s) = shard.and_then(|n| self.shards.get_mut(&n)) {
-            s.add(job);
+            s.add(now, job);
         }
         if let Some(w) = self.works.get_mut(job) {
             w.take(index);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -151,6 +151,8 @@
     pub works: BTreeMap<String, Work>,
     /// Jobs with results or an end to be stored.
     due: BTreeSet<String>,
+    /// Whose results are looked at first, since the last transaction had no room for them.
+    results_next: String,
     /// The records that tell of the machines.
     shards: BTreeMap<u32, Shard>,
     /// What was written without an answer: its stamp is read before it is written again.
@@ -166,6 +168,7 @@
     /// When placements that are not urgent may go out again, and what only tidies up.
     batch_at: Ms,
     tidy_at: Ms,
+    summary_at: Ms,
     /// `d/` records of jobs that have ended.
     drops: Vec<(String, Stored)>,
     /// `d/` records of jobs that our copy does not show yet.
@@ -208,6 +211,7 @@
             machines: Machines::default(),
             works: BTreeMap::new(),
             due: BTreeSet::new(),
+            results_next: String::new(),
             shards: BTreeMap::new(),
             doubts: vec![],
             value_bytes: set.value_bytes,
@@ -217,6 +221,7 @@
             flush_at: 0,
             batch_at: 0,
             tidy_at: 0,
+            summary_at: 0,
             drops: vec![],
             early: vec![],
             rereading: false,
@@ -272,6 +277,10 @@
         }
         if self.stage == Stage::Active {
             self.schedule(ctx);
+            if now >= self.summary_at {
+                self.summary_at = now + k::SUMMARY_MS;
+                self.summarize(ctx);
+            }
         }
         // A request to the cloud can be carried out late, after another leader has made its own
         // plans: so none without a lease that surely holds.
@@ -282,6 +291,52 @@
         self.command(ctx);
     }
 
+    /// One line for the log on how the fleet and the work stand.
+    fn summarize(&self, ctx: &Ctx) {
+        let mut lives: BTreeMap<&str, usize> = BTreeMap::new();
+        let (mut cpus, mut used, mut held) = (0.0, 0.0, 0);
+        let (mut unstored, mut unseen, mut fetching, mut running) = (0, 0, 0, 0);
+        for m in self.machines.values() {
+            let life = match m.life {
+                Life::Booting => "booting",
+                Life::Up if m.quiet(ctx.now.ms, ctx.set.report_s) => "silent",
+                Life::Up => "up",
+                Life::Draining => "draining",
+                Life::Deleting => "deleting",
+            };
+            *lives.entry(life).or_default() += 1;
+            if m.life == Life::Up {
+                cpus += self.kind(&m.kind).map_or(0.0, |t| t.cpus);
+                used += m.used().0;
+                held += m.held.len();
+            }
+            for p in &m.placements {
+                match p.phase {
+                    Phase::New => unstored += 1,
+                    Phase::Ready | Phase::Sent => unseen += 1,
+                    Phase::Fetching => fetching += 1,
+                    Phase::Running | Phase::Saving => running += 1,
+                    Phase::Exited { .. } => {}
+                }
+            }
+        }
+        let (mut waiting, mut late) = (0, 0);
+        for w in self.works.values() {
+            let n = w.pending.len();
+            waiting += n;
+            if w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0) {
+                late += n;
+            }
+        }
+        log::info!(
+            "machines {lives:?}, cpus {used:.0} of {cpus:.0}; jobs {}, tasks waiting {waiting} \
+             (late {late}), held {held}, unstored {unstored}, not seen yet {unseen}, \
+             fetching {fetching}, running {running}; threshold {:.2}",
+            self.works.len(),
+            self.sched.pruner.deferring
+        );
+    }
+
     /// Our lease surely holds: no other can lead yet.
     pub fn confirmed(&self, ctx: &Ctx) -> bool {
         ctx.now.ms < self.renewed_at + ctx.set.tuning.leader_ttl_ms
--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -33,7 +33,7 @@
         });
         m.idle_since = None;
         if let Some(s) = self.shards.get_mut(&shard) {
-            s.add(job);
+            s.add(self.now_ms, job);
             s.urgent |= w.urgent();
         }
         let cache = self
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -7,6 +7,8 @@
     items: Vec<Item>,
     bytes: usize,
     most: usize,
+    /// Something found no room in it.
+    full: bool,
 }
 
 impl Draft {
@@ -23,6 +25,7 @@
             items: vec![],
             bytes: k::TXN_MARGIN,
             most,
+            full: false,
         }
     }
 
@@ -30,6 +33,7 @@
     fn add(&mut self, key: String, version: u64, value: Option<Value>, item: Item) -> bool {
         let size = value.as_ref().map_or(0, json_len) + 2 * key.len() + 120;
         if self.items.len() >= self.most || self.bytes + size > k::TXN_BYTES {
+            self.full = true;
             return false;
         }
         self.bytes += size;
@@ -130,9 +134,12 @@
         let ops = ctx.set.txn_ops as f64;
         let reserve = ops.min(ctx.set.state_write_rps) * k::FLUSH_RESERVE;
         if now >= self.batch_at && level > reserve {
-            self.flush_results(ctx, &mut draft);
+            // Tasks wait for placements, nobody for results that can be told again: these have a
+            // part of each transaction, so that they are stored all the same.
+            self.flush_results(ctx, &mut draft, most.div_ceil(k::RESULTS_SHARE));
             self.flush_shards(ctx, &mut draft, |s| s.stored.dirty);
-            if !draft.items.is_empty() {
+            // A full transaction has no more company to wait for.
+            if !draft.items.is_empty() && !draft.full {
                 self.batch_at = now + k::FLUSH_GAP_MS;
             }
         }
@@ -193,10 +200,23 @@
 
     /// Results of jobs that go on. They wait a little, so that one write holds several; the
     /// worker tells them until they are stored.
-    fn flush_results(&mut self, ctx: &Ctx, draft: &mut Draft) {
+    fn flush_results(&mut self, ctx: &Ctx, draft: &mut Draft, most: usize) {
         let now = ctx.now.ms;
+        // The more jobs have results, the longer each waits: together they take a part of what
+        // may be written.
+        let rate = (ctx.set.state_write_rps * k::LEADER_WRITES * k::RESULTS_PART).max(0.1);
+        let wait = k::RESULTS_MS.max((self.due.len() as f64 / rate * 1e3) as u64);
+        let mut left = most;
         let mut settled = vec![];
-        for id in &self.due {
+        // In turn, so that none is passed over for long.
+        let next = std::mem::take(&mut self.results_next);
+        let (after, before): (Vec<&String>, Vec<&String>) =
+            self.due.iter().partition(|id| **id >= next);
+        for id in after.into_iter().chain(before) {
+            if left == 0 {
+                self.results_next = id.clone();
+                break;
+            }
             let Some(w) = self.works.get_mut(id) else {
                 settled.push(id.clone());
                 continue;
@@ -210,7 +230,7 @@
                 else {
                     continue;
                 };
-                if now < c.since + k::RESULTS_MS {
+                if now < c.since + wait || left == 0 {
                     continue;
                 }
                 let bits = w.done.encode(n * k::DONE_CHUNK, k::DONE_CHUNK);
@@ -222,6 +242,7 @@
                 let (runs, run_s) = self.sched.observed(id);
                 let value = Value::Done(DoneRecord { bits, runs, run_s });
                 if draft.add(done_key(id, *n), version, Some(value), item) {
+                    left -= 1;
                     c.stored.dirty = false;
                     c.stored.writing = true;
                 }
@@ -237,10 +258,25 @@
 
     fn flush_shards(&mut self, ctx: &Ctx, draft: &mut Draft, due: fn(&Shard) -> bool) {
         let mut empty = vec![];
-        for (number, shard) in &mut self.shards {
-            let (true, Some(version), false) =
-                (due(shard), shard.stored.version, shard.stored.writing)
-            else {
+        // What waits longest goes first: by number, the last would wait for ever.
+        let ready = |s: &Shard| due(s) && s.stored.version.is_some() && !s.stored.writing;
+        let mut order: Vec<(Ms, u32)> = self
+            .shards
+            .iter()
+            .filter(|(_, s)| ready(s))
+            .map(|(n, s)| (s.since, *n))
+            .collect();
+        order.sort_unstable();
+        for (_, number) in order {
+            // What is already full needs no look at the rest.
+            if draft.items.len() >= draft.most {
+                draft.full = true;
+                break;
+            }
+            let Some(shard) = self.shards.get_mut(&number) else {
+                continue;
+            };
+            let Some(version) = shard.stored.version else {
                 continue;
             };
             let (record, new) = shard_record(&self.machines, shard);
@@ -249,7 +285,7 @@
                 log::error!("record {number} of machines takes {size} bytes; not written");
                 continue;
             }
-            let n = *number;
+            let n = number;
             let named: BTreeSet<String> = record.machines.iter().map(|m| m.0.clone()).collect();
             let jobs = record.jobs.iter().map(|j| j.0.clone()).collect();
             let (value, item) = if !named.is_empty() {
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -700,6 +700,8 @@
     pub jobs: HashSet<String>,
     /// Urgent work waits for its write.
     pub urgent: bool,
+    /// Since when something in it waits to be written.
+    pub since: Ms,
 }
 
 impl Shard {
@@ -710,6 +712,7 @@
             bytes: k::SHARD_HEAD_BYTES,
             jobs: HashSet::new(),
             urgent: false,
+            since: 0,
         }
     }
 
@@ -718,9 +721,12 @@
     }
 
     /// One more task of the job goes in.
-    pub fn add(&mut self, job: &str) {
+    pub fn add(&mut self, now: Ms, job: &str) {
         self.bytes += self.more(job);
         self.jobs.insert(job.to_owned());
+        if !self.stored.dirty {
+            self.since = now;
+        }
         self.stored.dirty = true;
     }
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -10,6 +10,21 @@
     pub gpus_max: f64,
 }
 
+/// What is promised of a class besides its jobs' own deadlines: its arrays start, or are done, within
+/// so long.
+#[derive(Clone, Debug)]
+pub struct Promise {
+    pub class: String,
+    pub what: Promised,
+    pub within_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promised {
+    Start,
+    Finish,
+}
+
 /// What an operator may tune (the HCL file); the defaults stand in the constants.
 #[derive(Clone, Debug)]
 pub struct Tuning {
@@ -47,6 +62,7 @@
     pub peers: Vec<String>,
     pub zones: Vec<String>,
     pub teams: Vec<Team>,
+    pub promises: Vec<Promise>,
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
@@ -64,6 +80,17 @@
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.teams.iter().find(|t| t.name == name)
     }
+
+    /// Seconds after their submission by which tasks of a class are to be done, as far as that is
+    /// promised; each runs for `run` seconds.
+    pub fn promised(&self, class: &str, run: f64) -> impl Iterator<Item = f64> + '_ {
+        let class = class.to_owned();
+        let of_class = self.promises.iter().filter(move |p| p.class == class);
+        of_class.map(move |p| match p.what {
+            Promised::Start => p.within_s + run,
+            Promised::Finish => p.within_s,
+        })
+    }
 }
 
 /// A rate budget that refills steadily.
--- a/crates/stonegwd/src/settings.rs
+++ b/crates/stonegwd/src/settings.rs
@@ -2,7 +2,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
-use stonegw_control::settings::{Settings, Team, Tuning};
+use stonegw_control::settings::{Promise, Promised, Settings, Team, Tuning};
 
 pub struct Loaded {
     pub core: Settings,
@@ -45,6 +45,8 @@
     zones: Vec<String>,
     #[serde(default)]
     teams: Vec<PlatformTeam>,
+    #[serde(default)]
+    objectives: Vec<Objective>,
     workers: Workers,
     state: State,
     cloud: Cloud,
@@ -62,6 +64,14 @@
     gpus_max: f64,
 }
 
+// Kinds that we don't know are none of ours.
+#[derive(Deserialize)]
+struct Objective {
+    kind: String,
+    class: Option<String>,
+    within_s: Option<f64>,
+}
+
 #[derive(Deserialize)]
 struct Workers {
     report_s: f64,
@@ -190,6 +200,22 @@
             name: t.name,
         });
     }
+    let mut promises = vec![];
+    for o in std::mem::take(&mut p.deployment.objectives) {
+        let what = match o.kind.as_str() {
+            "wait" => Promised::Start,
+            "finished" => Promised::Finish,
+            _ => continue,
+        };
+        if let (Some(class), Some(s)) = (o.class, o.within_s) {
+            let within_s = within("deployment.objectives.within_s", s, 0.0, 1e9)?;
+            promises.push(Promise {
+                class,
+                what,
+                within_s,
+            });
+        }
+    }
     let d = &p.deployment;
     if d.state.txn_ops == 0 || d.state.txn_ops > 10_000 {
         return Err("deployment.state.txn_ops: must be from 1 to 10000".into());
@@ -202,6 +228,7 @@
         peers: p.known.iter().map(|k| k.node.clone()).collect(),
         zones: d.zones.clone(),
         teams,
+        promises,
         report_s: within(
             "deployment.workers.report_s",
             d.workers.report_s,
@@ -273,6 +300,14 @@
         name = "t"
         cpus = 1.0
         cpus_max = 2.0
+        [[deployment.objectives]]
+        kind = "finished"
+        class = "c"
+        within_s = 300.0
+        share = 0.9
+        [[deployment.objectives]]
+        kind = "guarantee"
+        share = 0.9
         [deployment.workers]
         report_s = 3.0
         lease_s = 24.0
@@ -291,7 +326,11 @@
 
     #[test]
     fn wrong_settings_name_the_field() {
-        assert!(platform(GOOD, Tuning::default()).is_ok());
+        let Ok(good) = platform(GOOD, Tuning::default()) else {
+            panic!("good settings are refused");
+        };
+        let promised: Vec<f64> = good.core.promised("c", 5.0).collect();
+        assert_eq!(promised, [300.0]);
         for (from, to, field) in [
             ("node = \"a\"", "node = \"\"", "node"),
             ("rps = 150.0", "rps = -1.0", "deployment.state.rps"),
@@ -313,6 +352,11 @@
                 "deployment.workers.cancel_s",
             ),
             ("node = \"b\"", "node = \"a\"", "known.node"),
+            (
+                "within_s = 300.0",
+                "within_s = -1.0",
+                "deployment.objectives.within_s",
+            ),
         ] {
             let text = GOOD.replacen(from, to, 1);
             let why = platform(&text, Tuning::default()).err().expect(field);
--- a/crates/testkit/src/outside.rs
+++ b/crates/testkit/src/outside.rs
@@ -6,6 +6,9 @@
 pub type Ms = u64;
 pub type Answer = (u16, Vec<u8>);
 
+/// Machines on one page of the list at most (the protocol's limit).
+const LIST_MAX: usize = 500;
+
 fn error(status: u16, why: &str) -> Answer {
     (status, encode(&ErrorBody { error: why.into() }))
 }
@@ -72,12 +75,12 @@
     }
 
     pub fn changes(&self, prefix: &str, since: u64) -> Changes<Value> {
-        let events = self
-            .log
+        let first = self.log.partition_point(|(r, _)| *r <= since);
+        let events = self.log[first..]
             .iter()
-            .filter(|(r, c)| {
+            .filter(|(_, c)| {
                 let (Change::Put { key, .. } | Change::Delete { key, .. }) = c;
-                *r > since && key.starts_with(prefix)
+                key.starts_with(prefix)
             })
             .map(|(_, c)| c.clone())
             .collect();
@@ -270,6 +273,11 @@
     pub images: BTreeSet<String>,
     /// Seconds' notice it reports.
     pub notice_s: Option<f64>,
+    /// Its steps count from here; the next at which it looks at itself.
+    pub grid: Ms,
+    pub turn_at: Ms,
+    /// It stands still until then, with all its tasks.
+    pub hangs_until: Ms,
 }
 
 pub fn addr_of(id: &str) -> String {
@@ -359,9 +367,14 @@
                 Err(e) => error(400, &e),
             },
             "/hosts" if body.is_empty() => {
-                let machines = self
+                let since = query(path, "since").unwrap_or("");
+                let limit = query(path, "limit").and_then(|l| l.parse().ok());
+                let limit = limit.unwrap_or(LIST_MAX).min(LIST_MAX);
+                let mut machines: Vec<ListedMachine> = self
                     .machines
                     .iter()
+                    .filter(|(id, _)| id.as_str() > since)
+                    .take(limit + 1)
                     .map(|(id, (h, born, up))| ListedMachine {
                         id: id.clone(),
                         addr: Some(addr_of(id)),
@@ -376,13 +389,9 @@
                         age_s: (now - born) as f64 / 1e3,
                     })
                     .collect();
-                (
-                    200,
-                    encode(&MachineList {
-                        machines,
-                        more: false,
-                    }),
-                )
+                let more = machines.len() > limit;
+                machines.truncate(limit);
+                (200, encode(&MachineList { machines, more }))
             }
             "/hosts" => match decode::<Hire>(body) {
                 Ok(h) => {
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -16,11 +16,15 @@
 const FETCH_MS: Ms = 1_000;
 const WORKER_PATIENCE_MS: Ms = 4_000;
 const FORGOTTEN_MS: Ms = 75_000;
+/// A worker looks at itself each time this has passed since it was up.
+const WORKER_STEP_MS: Ms = 100;
+const CHECK_MS: Ms = 100;
 
 #[derive(Clone, Debug)]
 enum Step {
     Tick(usize, u64),
-    WorkerTurn(String),
+    /// A worker's turn, if it is still the one that it waits for.
+    WorkerTurn(String, Ms),
     /// A call arrives at its target.
     Arrive {
         node: usize,
@@ -57,6 +61,8 @@
     },
     LinkUp(usize, u64, usize),
     User(String),
+    /// A look at the rules that time alone can break.
+    Check,
     Script(usize),
     Wake,
     /// A direct command arrives once more.
@@ -144,6 +150,10 @@
     pub lone: Option<(usize, Ms)>,
     /// Until when answers and commands don't reach a machine, though its reports arrive.
     pub deaf: BTreeMap<String, Ms>,
+    /// Machines that stopped by themselves.
+    dead: BTreeSet<String>,
+    /// What each team's tasks take at most, in CPUs.
+    team_bound: BTreeMap<String, f64>,
     /// Every report of the machine arrives once more so much later, at another node; every
     /// direct command to it likewise.
     pub copy_reports: BTreeMap<String, Ms>,
@@ -178,6 +188,7 @@
                 peers: names.iter().filter(|n| **n != names[i]).cloned().collect(),
                 zones: vec!["a".into(), "b".into()],
                 teams: vec![team("red", 8.0, 32.0), team("blue", 4.0, 4.0)],
+                promises: vec![],
                 report_s: REPORT_MS as f64 / 1e3,
                 lease_s: LEASE_MS as f64 / 1e3,
                 cancel_s: CANCEL_MS as f64 / 1e3,
@@ -239,6 +250,8 @@
             zone_cut: None,
             lone: None,
             deaf: BTreeMap::new(),
+            dead: BTreeSet::new(),
+            team_bound: BTreeMap::new(),
             copy_reports: BTreeMap::new(),
             copy_do: BTreeMap::new(),
             calm: None,
@@ -251,6 +264,7 @@
         for i in 0..nodes {
             sim.at(i as Ms * 20, Step::Restart(i));
         }
+        sim.at(CHECK_MS, Step::Check);
         sim
     }
 
@@ -261,6 +275,38 @@
         }
     }
 
+    pub fn state_rps(&mut self, rps: f64) {
+        for s in &mut self.settings {
+            s.state_rps = rps;
+        }
+    }
+
+    /// A team's guarantee and limit, in CPUs; likewise.
+    pub fn team(&mut self, name: &str, cpus: f64, cpus_max: f64) {
+        for t in self.settings.iter_mut().flat_map(|s| &mut s.teams) {
+            if t.name == name {
+                (t.cpus, t.cpus_max) = (cpus, cpus_max);
+            }
+        }
+    }
+
+    /// The machine stands still, with all that is on it, and goes on later.
+    pub fn hang(&mut self, id: &str, lag: Ms) {
+        let until = self.now + lag;
+        if let Some(w) = self.workers.get_mut(id) {
+            w.hangs_until = until;
+            for t in w.tasks.values_mut() {
+                t.until = t.until.saturating_add(lag);
+            }
+        }
+    }
+
+    /// The machine stops with all that is on it; the cloud still lists it.
+    pub fn die(&mut self, id: &str) {
+        self.workers.remove(id);
+        self.dead.insert(id.to_owned());
+    }
+
     pub fn value_bytes(&mut self, bytes: usize) {
         for s in &mut self.settings {
             s.value_bytes = bytes;
@@ -611,7 +657,15 @@
                     self.execute(&id, orders.commands);
                 }
             }
-            Step::WorkerTurn(id) => self.worker_turn(&id),
+            Step::WorkerTurn(id, at) => {
+                if self.workers.get(&id).is_some_and(|w| w.turn_at == at) {
+                    self.worker_turn(&id);
+                }
+            }
+            Step::Check => {
+                self.check();
+                self.at(self.now + CHECK_MS, Step::Check);
+            }
             Step::User(job) => self.user_turn(&job),
             Step::Script(i) => {
                 let line = self.script[i].1.clone();
@@ -709,7 +763,7 @@
             .cloud
             .machines
             .iter()
-            .filter(|(id, _)| !self.workers.contains_key(*id))
+            .filter(|(id, _)| !self.workers.contains_key(*id) && !self.dead.contains(*id))
             .map(|(id, (h, _, up))| (id.clone(), h.clone(), *up))
             .collect();
         for (id, hire, up) in new {
@@ -730,9 +784,12 @@
                 tasks: BTreeMap::new(),
                 images: BTreeSet::new(),
                 notice_s: None,
+                grid: up,
+                turn_at: Ms::MAX,
+                hangs_until: 0,
             };
             self.workers.insert(id.clone(), worker);
-            self.at(up, Step::WorkerTurn(id));
+            self.worker_due(&id, up);
         }
     }
 
@@ -756,6 +813,10 @@
         let Some(w) = self.workers.get_mut(id) else {
             return;
         };
+        if now < w.hangs_until {
+            let until = w.hangs_until;
+            return self.worker_due(id, until);
+        }
         if now >= w.renewed + LEASE_MS {
             w.lose_session(now);
             self.note(format!("{id} loses its session"));
@@ -821,8 +882,37 @@
                 self.at(now + lag, Step::Ask { ask, node, request });
             }
         }
-        self.check();
-        self.at(now + 100, Step::WorkerTurn(id.into()));
+        let Some(w) = self.workers.get(id) else {
+            return;
+        };
+        let changed = w
+            .changed
+            .then_some((w.next_report + 500).saturating_sub(REPORT_MS));
+        let report =
+            Some(changed.unwrap_or(Ms::MAX).min(w.next_report)).filter(|_| w.flying.is_none());
+        let patience = w.flying.map(|f| f.1 + WORKER_PATIENCE_MS);
+        let tasks = w.tasks.values();
+        let tasks = tasks.filter(|t| matches!(t.state, TaskState::Fetching | TaskState::Running));
+        let next = tasks.map(|t| t.until).chain(report).chain(patience);
+        let next = next.chain([w.renewed + LEASE_MS]).min().unwrap_or(Ms::MAX);
+        self.worker_due(id, next.max(now + 1));
+    }
+
+    /// The worker looks at itself at the next step of its own from then on, if not before.
+    fn worker_due(&mut self, id: &str, when: Ms) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(id) else {
+            return;
+        };
+        let steps = when
+            .max(now)
+            .saturating_sub(w.grid)
+            .div_ceil(WORKER_STEP_MS);
+        let at = w.grid + steps * WORKER_STEP_MS;
+        if at < w.turn_at || w.turn_at <= now {
+            w.turn_at = at;
+            self.at(at, Step::WorkerTurn(id.into(), at));
+        }
     }
 
     fn ask(&mut self, ask: u64, node: usize, method: &str, path: &str, body: Vec<u8>) {
@@ -853,7 +943,8 @@
             .get(&id)
             .copied()
             .max(self.hold_do.get(&id).copied())
-            .max(self.deaf.get(&id).copied());
+            .max(self.deaf.get(&id).copied())
+            .max(self.workers.get(&id).map(|w| w.hangs_until));
         if let Some(until) = until.filter(|u| self.now < *u) {
             let target = Target::Worker(addr_of(&id));
             self.note(format!("{path} to {id} is held back"));
@@ -897,6 +988,7 @@
         };
         let fits = orders.token >= w.token && orders.session == Some(w.session);
         w.saw(orders.token);
+        self.worker_due(&id, self.now);
         if fits {
             self.execute(&id, orders.commands);
         }
@@ -968,6 +1060,7 @@
                 self.started(id, &task, attempt);
             }
         }
+        self.worker_due(id, now);
     }
 
     // ---- Rules ------------------------------------------------------------------------------
@@ -996,6 +1089,7 @@
         if told.is_some_and(|at| self.now > at + CANCEL_MS) {
             self.broke(format!("ran_cancelled {task} starts on {id}"));
         }
+        self.check_team(&spec.team, spec.cpus);
         let w = self.workers.get_mut(id).expect("worker");
         if spec.zone.as_ref().is_some_and(|z| *z != w.zone) {
             let zone = w.zone.clone();
@@ -1003,24 +1097,41 @@
         }
     }
 
+    /// A team's use grows only when a task starts: it is added up anew only where, with all that
+    /// started since the last time, it could be over the limit.
+    fn check_team(&mut self, team: &str, cpus: f64) {
+        let most = self.settings[0].team(team).expect("team").cpus_max;
+        let bound = self.team_bound.entry(team.into()).or_default();
+        *bound += cpus;
+        if *bound <= most + 1e-6 {
+            return;
+        }
+        let tasks = self.workers.values().flat_map(|w| {
+            let names = w.tasks.keys().filter(|t| w.on_machine(t));
+            names.map(|t| &self.jobs[t.split('/').next().unwrap_or("")].spec)
+        });
+        let used: f64 = tasks.filter(|s| s.team == team).map(|s| s.cpus).sum();
+        *bound = used;
+        if used > most + 1e-6 && !self.broken.iter().any(|b| b.starts_with("quota")) {
+            self.broke(format!("quota {team} uses {used} of {most}"));
+        }
+    }
+
+    /// What time alone can break.
     fn check(&mut self) {
-        let mut used: BTreeMap<String, f64> = BTreeMap::new();
+        let now = self.now;
+        let over = |j: &Job| j.cancelled_at.is_some_and(|at| now > at + CANCEL_MS);
+        if !self.jobs.values().any(over) {
+            return;
+        }
         let mut late = vec![];
         for w in self.workers.values() {
             for task in w.tasks.keys().filter(|t| w.on_machine(t)) {
-                let job = &self.jobs[task.split('/').next().unwrap_or("")];
-                *used.entry(job.spec.team.clone()).or_default() += job.spec.cpus;
-                if job.cancelled_at.is_some_and(|at| self.now > at + CANCEL_MS) {
+                if over(&self.jobs[task.split('/').next().unwrap_or("")]) {
                     late.push(format!("ran_cancelled {task} on {}", w.id));
                 }
             }
         }
-        for (team, cpus) in used {
-            let most = self.settings[0].team(&team).expect("team").cpus_max;
-            if cpus > most + 1e-6 && !self.broken.iter().any(|b| b.starts_with("quota")) {
-                self.broke(format!("quota {team} uses {cpus} of {most}"));
-            }
-        }
         for l in late {
             if !self.broken.contains(&l) {
                 self.broke(l);
@@ -1102,11 +1213,19 @@
         self.ask(ask, node, method, &path, body);
     }
 
-    /// Its process ends and is back at once: a new session, and nothing of the old one.
-    pub fn restart_machine(&mut self, id: &str) {
+    /// Its worker kills and forgets everything.
+    pub fn lose_session(&mut self, id: &str) {
         let now = self.now;
         if let Some(w) = self.workers.get_mut(id) {
             w.lose_session(now);
+        }
+        self.worker_due(id, now);
+    }
+
+    /// Its process ends and is back at once: a new session, and nothing of the old one.
+    pub fn restart_machine(&mut self, id: &str) {
+        self.lose_session(id);
+        if let Some(w) = self.workers.get_mut(id) {
             w.images.clear();
         }
     }
@@ -1131,10 +1250,13 @@
                 let Some(w) = self.workers.get_mut(&id) else {
                     return;
                 };
-                let Some((_, sent)) = w.flying.filter(|f| f.0 == ask && !cut) else {
+                let hangs = now < w.hangs_until;
+                let Some((_, sent)) = w.flying.filter(|f| f.0 == ask && !cut && !hangs) else {
                     return;
                 };
                 w.flying = None;
+                self.worker_due(&id, now);
+                let w = self.workers.get_mut(&id).expect("seen");
                 if status != 200 {
                     let to = decode::<ReportTo>(body).ok().and_then(|r| r.node);
                     let named = to.and_then(|n| n.strip_prefix("node-")?.parse().ok());
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -1,10 +1,13 @@
-//! Reads and plays the scenarios in `traces/`: one line an event, `#` comments.
+//! Reads and plays the scenarios in `traces/`: one line an event, `#` comments. Where a line takes
+//! a MACHINE to `cut`, make `deaf`, `hang` or `die`, it also takes several: `host-000010..000019`.
 //!
 //! | line | meaning |
 //! | --- | --- |
 //! | `nodes N` | controllers (3 if not said) |
 //! | `machines N ZONE` | machines up at the start |
 //! | `write-rps N` | changes a second that the state service takes |
+//! | `state-rps N` | requests a second that it takes |
+//! | `team NAME N MOST` | its guarantee and limit, in CPUs |
 //! | `value-bytes N` | bytes a record may take; little makes one record a machine |
 //! | `capacity N` | machines the cloud has at most |
 //! | `T submit JOB KIND N [key value]...` | keys: cpus, run, due, team, zone, priority, image |
@@ -14,6 +17,8 @@
 //! | `T trap lose-answer KEY` | its answer is lost |
 //! | `T trap delay KEY S` | that transaction arrives so much later |
 //! | `T refuse leader\|all\|N S` | the state service answers it 503 |
+//! | `T hang MACHINE S` | it stands still with its tasks; what is sent to it arrives afterwards |
+//! | `T die MACHINE` | it stops with all that is on it |
 //! | `T cut MACHINE S` | the machine's network; what is sent to it arrives afterwards |
 //! | `T cut-zone ZONE NODE S` | the zone's machines and that node reach nobody else but the state service |
 //! | `T lone N S` | the node reaches neither the state service nor other nodes, but its workers |
@@ -65,6 +70,11 @@
                 }
             }
             "write-rps" => sim.write_rps(l[1].parse().expect("rate")),
+            "state-rps" => sim.state_rps(l[1].parse().expect("rate")),
+            "team" => {
+                let n = |i: usize| l[i].parse().expect("cpus");
+                sim.team(&l[1], n(2), n(3));
+            }
             "value-bytes" => sim.value_bytes(l[1].parse().expect("bytes")),
             "capacity" => sim.cloud.capacity = l[1].parse().expect("capacity"),
             "until" => until = ms(&l[1]),
@@ -86,6 +96,13 @@
     }
 }
 
+/// `host-000010`, or `host-000010..000019` for ten of them.
+fn machines(word: &str) -> impl Iterator<Item = String> {
+    let number = |n: &str| -> u64 { n.trim_start_matches("host-").parse().expect("machine") };
+    let (first, last) = word.split_once("..").unwrap_or((word, word));
+    (number(first)..=number(last)).map(|n| format!("host-{n:06}"))
+}
+
 pub(crate) fn act(sim: &mut Sim, line: &[String]) {
     let word = |i: usize| line.get(i).map(String::as_str).unwrap_or("");
     let text = line.join(" ");
@@ -189,15 +206,17 @@
         }
         "cut" => {
             let until = sim.now + ms(word(2));
-            sim.cut.insert(word(1).into(), until);
+            sim.cut.extend(machines(word(1)).map(|m| (m, until)));
         }
+        "hang" => machines(word(1)).for_each(|m| sim.hang(&m, ms(word(2)))),
+        "die" => machines(word(1)).for_each(|m| sim.die(&m)),
         "lone" => {
             let until = sim.now + ms(word(2));
             sim.lone = targets(sim, word(1)).first().map(|n| (*n, until));
         }
         "deaf" => {
             let until = sim.now + ms(word(2));
-            sim.deaf.insert(word(1).into(), until);
+            sim.deaf.extend(machines(word(1)).map(|m| (m, until)));
         }
         "copy-reports" => {
             sim.copy_reports.insert(word(1).into(), ms(word(2)));
@@ -224,11 +243,7 @@
             sim.zone_cut = Some((zone, word(2).parse().expect("node"), until));
         }
         "new-session" => {
-            let now = sim.now;
-            sim.workers
-                .get_mut(word(1))
-                .expect("machine")
-                .lose_session(now);
+            sim.lose_session(word(1));
         }
         "notice" => {
             let w = sim.workers.get_mut(word(1)).expect("machine");
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -65,4 +65,5 @@
     large_zone_cut,
     many_deaf,
     all_at_once,
+    large_fleet,
 );
