A mapping looks at what it needs of a machine, not at the machine

Cause (profile of the stand-in at 1,800 machines and 180 waiting arrays): half of all processor time went into best_offer, most of it into finding each machine by name again for each waiting job, and into comparing the names of images. A mapping now takes over once what its offers depend on, with images numbered. Machines that are heard are not searched for urgent tasks four times a second.

--- a/crates/control/src/leader/silence.rs
+++ b/crates/control/src/leader/silence.rs
@@ -69,13 +69,16 @@
             if m.life != Life::Deleting && settled && mattered {
                 let taken = m.notice.is_some_and(|t| now > t + 2_000);
                 let vanished = m.missing >= 2 || taken;
-                let limit = if cut(&m.zone) {
-                    lost_ms.max(3 * lease_ms)
-                } else if few && !m.far && urgent(m) {
-                    urgent_ms
-                } else {
-                    lost_ms
-                };
+                // Most are heard: what they hold need not be looked at.
+                let over = quiet_ms > urgent_ms
+                    && quiet_ms
+                        > if cut(&m.zone) {
+                            lost_ms.max(3 * lease_ms)
+                        } else if few && !m.far && urgent(m) {
+                            urgent_ms
+                        } else {
+                            lost_ms
+                        };
                 // One that is heard but does not hear us is of no use; by its lease's end
                 // nothing runs there any more.
                 let deaf_ms = if many_deaf { 3 * lease_ms } else { lease_ms };
@@ -83,7 +86,7 @@
                     Reach::Deaf { since } => now > since + deaf_ms,
                     _ => false,
                 };
-                if quiet_ms > limit || (vanished && quiet) || deaf {
+                if over || (vanished && quiet) || deaf {
                     log::warn!("machine {} is lost after {quiet_ms} ms, deaf {deaf}", m.id);
                     lost.push(m.id.clone());
                 }
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -154,6 +154,11 @@
     /// Its type's place in the catalogue.
     kind: usize,
     price: f64,
+    spot: bool,
+    /// The images it holds, by their number in this mapping.
+    images: Vec<usize>,
+    /// s a GB of an image takes to fetch.
+    fetch_s_per_gb: f64,
     queue: Queue,
     /// Grows with every task put here: offers made before are out of date.
     changes: u32,
@@ -165,11 +170,56 @@
     due: f64,
     left: usize,
     rank: Rank,
+    /// Its image's number in this mapping.
+    image: usize,
     /// By machine type.
     runs: Vec<Option<Runs>>,
     best: Option<Best>,
 }
 
+/// Numbers for the images that waiting jobs need: each is compared with all machines'.
+#[derive(Default)]
+struct Images(HashMap<String, usize>);
+
+impl Images {
+    fn number(&mut self, image: &str) -> usize {
+        if let Some(n) = self.0.get(image) {
+            return *n;
+        }
+        let n = self.0.len();
+        self.0.insert(image.to_owned(), n);
+        n
+    }
+
+    fn on(&self, m: &Machine) -> Vec<usize> {
+        let known = m.images.iter();
+        known.filter_map(|(i, _)| self.0.get(i).copied()).collect()
+    }
+}
+
+impl Seat {
+    /// Takes over what a placement changes of the machine, as far as offers depend on it.
+    fn look(&mut self, m: &Machine, images: &Images, rate: f64) {
+        self.images = images.on(m);
+        self.fetch_s_per_gb = fetch_s_per_gb(m, rate);
+    }
+
+    fn fetch_s(&self, c: &Candidate) -> f64 {
+        if self.images.contains(&c.image) {
+            0.0
+        } else {
+            self.fetch_s_per_gb * c.spec.image_gb
+        }
+    }
+}
+
+/// Fetches at the same time share the rate.
+fn fetch_s_per_gb(m: &Machine, rate: f64) -> f64 {
+    let fetching = m.placements.iter().any(|p| p.phase == Phase::Fetching);
+    let share = if fetching { 2.0 } else { 1.0 };
+    share / rate.max(0.01)
+}
+
 #[derive(Clone, Copy)]
 struct Best {
     seat: usize,
@@ -414,7 +464,13 @@
             log::info!("pruning toggle {:?} -> {:?}", was, self.sched.pruner.toggle);
         }
         let (mut seats, robustness) = self.seats(ctx);
-        let mut cands = self.candidates(ctx, &seats);
+        let mut images = Images::default();
+        let mut cands = self.candidates(ctx, &seats, &mut images);
+        for s in &mut seats {
+            if let Some(m) = self.machines.get(&s.id) {
+                s.look(m, &images, self.catalog.types[s.kind].fetch_gb_per_s);
+            }
+        }
         let waiting: usize = cands.iter().map(|c| c.left).sum();
         for c in &mut cands {
             c.best = self.best_offer(&mut seats, c);
@@ -510,6 +566,9 @@
             }
             seat.queue.push(&start, end, cpus, gpus, memory);
             seat.changes += 1;
+            if let Some(m) = self.machines.get(&id) {
+                seat.look(m, &images, self.catalog.types[seat.kind].fetch_gb_per_s);
+            }
         }
     }
 
@@ -521,7 +580,7 @@
     }
 
     /// What waits and may still be in time, a job standing for its like tasks.
-    fn candidates(&mut self, ctx: &Ctx, seats: &[Seat]) -> Vec<Candidate> {
+    fn candidates(&mut self, ctx: &Ctx, seats: &[Seat], images: &mut Images) -> Vec<Candidate> {
         let now = ctx.now.ms;
         let mut present = vec![false; self.catalog.types.len()];
         for s in seats {
@@ -555,6 +614,7 @@
                 due,
                 left,
                 rank: (w.spec.priority, false),
+                image: images.number(&w.spec.image),
                 runs: runs.collect(),
                 best: None,
                 spec: w.spec.clone(),
@@ -568,10 +628,7 @@
             return 0.0;
         }
         let rate = self.kind(&m.kind).map_or(1.0, |t| t.fetch_gb_per_s);
-        // Fetches at the same time share the rate.
-        let fetching = m.placements.iter().any(|p| p.phase == Phase::Fetching);
-        let share = if fetching { 2.0 } else { 1.0 };
-        share * spec.image_gb / rate.max(0.01)
+        fetch_s_per_gb(m, rate) * spec.image_gb
     }
 
     /// The machine with the best chance for the job's next task.
@@ -583,14 +640,14 @@
             let Some(runs) = &c.runs[seat.kind] else {
                 continue;
             };
+            if seat.spot && !spec.spot {
+                continue;
+            }
             let start = seat.queue.start(spec.cpus, spec.gpus, spec.memory_gb);
-            let (Some(Start { wait, .. }), Some(m)) = (start, self.machines.get(&seat.id)) else {
+            let Some(Start { wait, .. }) = start else {
                 continue;
             };
-            if m.spot && !spec.spot {
-                continue;
-            }
-            let fetch = self.fetch_s(m, spec);
+            let fetch = seat.fetch_s(c);
             // What no wait can better; the full sum is made only where it can matter.
             let (earliest, mean) = wait.as_ref().map_or((0.0, 0.0), |w| (w.earliest, w.mean));
             let bound = runs.cumulative.by(fetch + earliest, c.due);
@@ -617,7 +674,11 @@
                 spare: seat.queue.cpus - spec.cpus,
             };
             let better = best.as_ref().is_none_or(|b| offer.beats(&b.offer));
-            if better && self.suits(m, w) && !self.is_kept(&m.id, &c.spec.id) {
+            let suits = || {
+                let m = self.machines.get(&seat.id);
+                m.is_some_and(|m| self.suits(m, w)) && !self.is_kept(&seat.id, &spec.id)
+            };
+            if better && suits() {
                 best = Some(Best {
                     seat: i,
                     at: seat.changes,
@@ -652,7 +713,7 @@
             let kind = &types[at];
             let (cpus, gpus, memory) = m.free(kind);
             let mut q = Queue::with_room(cpus, gpus, memory);
-            let price = kind.price_per_cpu(m.spot);
+            let (price, spot) = (kind.price_per_cpu(m.spot), m.spot);
             for p in m.placements.iter().filter(|p| p.present()) {
                 let Some(w) = self.works.get(&p.job) else {
                     // Ended: it leaves within moments.
@@ -728,6 +789,9 @@
                     id,
                     kind: at,
                     price,
+                    spot,
+                    images: vec![],
+                    fetch_s_per_gb: 0.0,
                     queue: q,
                     changes: 0,
                 });
