Idle connections go first near the limit of sockets; a turn that stood still commands nothing

Idle ones now end after 30 s, and near the limit the longest idle go first; calls to workers never take the last sockets, so state service, cloud and peers go on. A limit too small to work with is refused. The backlog of a listener and of a peer link are sized for two thousand machines that turn to one node at once. A process that stood still within a turn sends nothing that the turn decided to the cloud and the workers. Slow turns are told in the log.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -22,15 +22,34 @@
 pub const IDLE_MS: u64 = 65_000;
 /// ms a client may take to send one whole request once begun: slow senders hold sockets.
 pub const SLOW_MS: u64 = 5_000;
-/// Sockets kept back from accepting, for our own calls to state, cloud, workers and peers.
+/// Sockets kept back from accepting, for our own calls to state, cloud, workers and peers; a quarter
+/// of the limit where that is less.
 pub const RESERVED_SOCKETS: usize = 160;
+/// Of these, kept back from calls to workers: state service, cloud and peers never go without.
+pub const VITAL_SOCKETS: usize = 32;
+/// Sockets that are not counted one by one: poller, standard streams, some to spare.
+pub const SOCKET_MARGIN: usize = 8;
+/// Idle connections closed at once when the limit is near: each look goes through all of them.
+pub const EVICT_SOCKETS: usize = 32;
+/// Fewest sockets with which a node can work.
+pub const LEAST_SOCKETS: f64 = 128.0;
+/// ms an idle connection of ours is kept: a machine at work is commanded every few seconds.
+pub const IDLE_CALL_MS: u64 = 30_000;
+/// Connections waiting to be accepted: after a crash all machines turn to the same node at once.
+pub const LISTEN_BACKLOG: i32 = 4_096;
 /// ms between turns of the timers at most. Each turn costs system calls, which a few per cent of
 /// a core feel; no timer here needs more than a tenth of a second.
 pub const TICK_MS: u64 = 100;
 /// Bytes read from a socket at once.
 pub const READ_CHUNK: usize = 16 * 1024;
-/// Bytes of unsent output after which a peer link is cut: it has stopped reading.
-pub const MAX_BACKLOG: usize = 1024 * 1024;
+/// Bytes of unsent output after which a peer link is cut: it has stopped reading. The reports of
+/// two thousand machines that come at once, a kilobyte each, pass.
+pub const MAX_BACKLOG: usize = 4 * 1024 * 1024;
+/// ms that a turn may take before what it decided for the cloud and the workers is void: the
+/// process stood still, and its lease may be over.
+pub const STALE_TURN_MS: u64 = 1_500;
+/// ms from which a turn's length is told in the log: the leader key is renewed each second.
+pub const SLOW_TURN_MS: u64 = 300;
 /// ms between two attempts to reach a peer.
 pub const PEER_REDIAL_MS: u64 = 1_000;
 /// ms between pings on a peer link.
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -54,8 +54,7 @@
     peers: TcpListener,
     conns: HashMap<usize, Conn>,
     next: usize,
-    servers: usize,
-    max_servers: usize,
+    max_sockets: usize,
     /// Idle connections of ours, by address.
     idle: HashMap<String, Vec<usize>>,
     /// Calls in progress, with their connection.
@@ -98,7 +97,7 @@
             let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
             socket.set_reuse_address(true)?;
             socket.bind(&addr.into())?;
-            socket.listen(1024)?;
+            socket.listen(k::LISTEN_BACKLOG)?;
             socket.set_nonblocking(true)?;
             let l: TcpListener = socket.into();
             // Safe: the listeners live as long as the poller.
@@ -116,8 +115,7 @@
             peers,
             conns: HashMap::new(),
             next: FIRST,
-            servers: 0,
-            max_servers: max_sockets.saturating_sub(k::RESERVED_SOCKETS).max(16),
+            max_sockets,
             idle: HashMap::new(),
             calls: HashMap::new(),
             peer_addrs,
@@ -182,10 +180,14 @@
         self.serve(key);
     }
 
+    /// `vital`: to the state service or the cloud, which calls to workers must never keep from a
+    /// socket.
+    #[allow(clippy::too_many_arguments)]
     pub fn call(
         &mut self,
         call: u64,
         addr: &str,
+        vital: bool,
         method: &str,
         path: &str,
         body: &[u8],
@@ -195,6 +197,10 @@
         let kept = self.idle.get_mut(addr).and_then(Vec::pop);
         let key = match kept {
             Some(key) => key,
+            None if !self.make_room(if vital { 0 } else { k::VITAL_SOCKETS }) => {
+                log::warn!("no socket left for {addr}");
+                return self.failed(call, Failed::NotSent);
+            }
             None => match connect(addr) {
                 Ok(stream) => {
                     let role = Role::Client {
@@ -277,13 +283,40 @@
         Some(key)
     }
 
+    /// Whether there is a socket besides so many that are kept. Nearing the limit, idle connections
+    /// go, the longest idle first: our own to workers, then those of workers and users.
+    fn make_room(&mut self, kept: usize) -> bool {
+        let most = self
+            .max_sockets
+            .saturating_sub(kept + FIRST + k::SOCKET_MARGIN);
+        if self.conns.len() >= most {
+            let idle = |c: &Conn| match &c.role {
+                Role::Client { call: None, .. } => Some((0, c.deadline)),
+                Role::Server { busy: false, .. } if c.input.is_empty() && c.output.is_empty() => {
+                    Some((1, c.deadline))
+                }
+                _ => None,
+            };
+            let conns = self.conns.iter();
+            let mut old: Vec<_> = conns.filter_map(|(k, c)| Some((idle(c)?, *k))).collect();
+            old.sort_unstable();
+            log::info!("{} sockets in use; closing idle ones", self.conns.len());
+            // Several at once, for looking at all of them costs time.
+            for (_, key) in old.into_iter().take(k::EVICT_SOCKETS) {
+                self.close(key);
+            }
+        }
+        self.conns.len() < most
+    }
+
     fn accept(&mut self, user: bool) {
         let now = self.now();
         loop {
             let listener = if user { &self.clients } else { &self.peers };
             match listener.accept() {
                 Ok((stream, _)) => {
-                    if user && self.servers >= self.max_servers {
+                    let kept = k::RESERVED_SOCKETS.min(self.max_sockets / 4);
+                    if !self.make_room(if user { kept } else { 0 }) {
                         // Dropped: the load balancer turns to another node.
                         log::debug!("too many connections");
                         continue;
@@ -298,13 +331,7 @@
                     } else {
                         Role::PeerIn
                     };
-                    if self
-                        .add(Conn::new(stream, role, now + k::IDLE_MS))
-                        .is_some()
-                        && user
-                    {
-                        self.servers += 1;
-                    }
+                    self.add(Conn::new(stream, role, now + k::IDLE_MS));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -319,7 +346,8 @@
         }
     }
 
-    fn failed(&mut self, call: u64, why: Failed) {
+    /// The call comes to nothing.
+    pub fn failed(&mut self, call: u64, why: Failed) {
         self.out.push(NetEvent::CallDone {
             call,
             result: Err(why),
@@ -333,7 +361,6 @@
         let _ = self.poller.delete(&c.stream);
         match c.role {
             Role::Server { .. } => {
-                self.servers -= 1;
                 self.accept_paused = false;
                 if c.counted {
                     self.admission.abandon();
@@ -521,7 +548,7 @@
                 self.out.push(NetEvent::CallDone { call: id, result });
                 if keep {
                     self.idle.entry(addr).or_default().push(key);
-                    c.deadline = u64::MAX;
+                    c.deadline = self.start.elapsed().as_millis() as u64 + k::IDLE_CALL_MS;
                 } else {
                     self.close(key);
                 }
--- a/crates/stonegwd/src/main.rs
+++ b/crates/stonegwd/src/main.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
+use stonegw_constants as k;
 use stonegw_control::api::{Action, CallError, Event, Link, Now, Target};
 use stonegw_control::node::Node;
 use stonegw_net::{Failed, Net, NetEvent};
@@ -81,14 +82,23 @@
                 .duration_since(UNIX_EPOCH)
                 .map_or(0, |d| d.as_millis() as u64),
         };
-        for action in node.handle(now, events.drain(..)) {
-            perform(&mut net, action, &cloud, &state);
+        let (came, began) = (events.len(), net.now());
+        let actions = node.handle(now, events.drain(..));
+        let took = net.now() - began;
+        if took > k::SLOW_TURN_MS {
+            log::info!("a turn of {came} events took {took} ms");
+        }
+        for action in actions {
+            // Should the process have stood still meanwhile, the lease on which the cloud and the
+            // workers may be told something may be over.
+            let stale = net.now() > now.ms + k::STALE_TURN_MS;
+            perform(&mut net, action, &cloud, &state, stale);
         }
         events.extend(net.poll()?.into_iter().map(translate));
     }
 }
 
-fn perform(net: &mut Net, action: Action, cloud: &str, state: &str) {
+fn perform(net: &mut Net, action: Action, cloud: &str, state: &str, stale: bool) {
     match action {
         Action::Reply {
             id,
@@ -104,12 +114,17 @@
             body,
             timeout_ms,
         } => {
+            if stale && target != Target::State {
+                log::warn!("stood still; {method} {path} is not sent");
+                return net.failed(call, Failed::NotSent);
+            }
             let addr = match &target {
                 Target::State => state,
                 Target::Cloud => cloud,
                 Target::Worker(addr) => addr,
             };
-            net.call(call, addr, method, &path, &body, timeout_ms);
+            let vital = !matches!(target, Target::Worker(_));
+            net.call(call, addr, vital, method, &path, &body, timeout_ms);
         }
         Action::Send { to, frame } => net.send(
             match to {
--- a/crates/stonegwd/src/settings.rs
+++ b/crates/stonegwd/src/settings.rs
@@ -262,7 +262,7 @@
         max_sockets: within(
             "deployment.limits.max_sockets",
             d.limits.max_sockets,
-            32.0,
+            stonegw_constants::LEAST_SOCKETS,
             1e7,
         )? as usize,
         tuning,
@@ -352,6 +352,11 @@
                 "deployment.workers.cancel_s",
             ),
             ("node = \"b\"", "node = \"a\"", "known.node"),
+            (
+                "max_sockets = 1500",
+                "max_sockets = 100",
+                "deployment.limits.max_sockets",
+            ),
             (
                 "within_s = 300.0",
                 "within_s = -1.0",
