Cut zones at scale: no machine is given up for want of a way to be heard

Each 14 s all of them were sent to try the leader for 10 s; now a part goes, and only scouts once one is back. Reports under the old token count as presence. Machines heard through the state service count towards a cut. (3) When a cut ends the machines come back one by one, the zone no longer looked cut, and the rest were deleted in that second; a zone stays taken as cut for as long as a worker may need to find its node. (4) A zone cut off from the state service too: its node let its workers go after 8 s, as if only it were cut off. Workers that come back after trying all others, or that come from elsewhere, show that they are cut off with it, and it keeps their leases within the bound for cancels (0.9 instead of 0.8 of it). (5) A report that the leader doesn't answer in time gets the same answer as with a link known to be down. (6) A new leader took machines that the list calls running, but that it had not heard, for ones that never came up. Ruled out: the slots of the records (a watch tells of every change, also of one overwritten).

Tests: traces zone_cut_off, zone_cut_new_leader; no_record_waits_for_ever_behind_others; work.rs counts the machines that the leader looks at, at two sizes. Placing first fit looks for machines with room once, not for each task.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -175,7 +175,7 @@
 /// Part of the time between a worker's lease and the limit for cancellations for which a node
 /// without the leader, or the leader without the state service, keeps leases alive alone: a
 /// cancel told elsewhere must still be in time when it stops.
-pub const ALONE_PART: f64 = 0.8;
+pub const ALONE_PART: f64 = 0.9;
 /// ms without the state service and any other node after which a node holds no workers any more:
 /// longer than the leader key's life and the pings, so that a moment's loss is none, and early
 /// enough that a worker, which needs some 10 s to find another node, does so within its lease.
@@ -183,6 +183,12 @@
 /// ms after which a machine answered without the leader is sent to try it: a round of vain
 /// tries takes 10 s, which with this stays within the shortest lease in use.
 pub const FAR_REDIRECT_MS: u64 = 14_000;
+/// One in so many of them may be away for it at once.
+pub const FAR_TRY_PART: usize = 4;
+/// So many may always be: one of them may have ended.
+pub const FAR_SCOUTS: usize = 3;
+/// ms on top of a vain try of each other node after which one that is away has found the leader.
+pub const FAR_AWAY_MS: u64 = 2_000;
 /// ms between two reports of a machine handed on through the state service, if nothing
 /// changed.
 pub const FAR_REPEAT_MS: u64 = 6_000;
@@ -195,9 +201,7 @@
 pub const FAR_GAP_MS: u64 = 1_000;
 /// Part of the machines that may fall silent at once before the leader takes it for its own
 /// trouble and deletes none.
-pub const SILENT_PART: f64 = 0.3;
-/// Part of the machines whose silence still counts as that of few.
-pub const SILENT_FEW_PART: f64 = 0.3;
+pub const SILENT_PART: f64 = 0.5;
 /// Part of a zone's machines whose silence means that the zone is cut off.
 pub const SILENT_ZONE_PART: f64 = 0.7;
 /// Fewer machines than this are never too many to be lost at once.
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -198,6 +198,7 @@
         let usual = self.fleet.usual.clone();
         let types = self.catalog.types.clone();
         let idle_boots = ctx.set.tuning.idle_boots;
+        let lost_ms = (ctx.set.lease_s * 3e3) as u64;
         self.machines.edit_all(|m| {
             let unsettled = m
                 .placements
@@ -210,8 +211,14 @@
                         .find(|t| t.name == m.kind)
                         .map_or(60.0, |t| t.boot_s);
                     let age = now.saturating_sub(m.born) as f64 / 1e3;
-                    if age > boot * k::BOOT_GIVE_UP && m.heard.is_none() && m.placements.is_empty()
-                    {
+                    // One that the list calls running is up, and not heard yet by a new leader; it
+                    // may be behind a cut.
+                    let over = if m.listed_up {
+                        now > m.known_since + lost_ms
+                    } else {
+                        age > boot * k::BOOT_GIVE_UP
+                    };
+                    if over && m.heard.is_none() && m.placements.is_empty() {
                         log::warn!("machine {} never came up", m.id);
                         m.set_life(Life::Deleting);
                     }
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -169,6 +169,9 @@
     batch_at: Ms,
     tidy_at: Ms,
     summary_at: Ms,
+    /// Until when zones are taken as cut off, and most machines' silence as our own trouble.
+    cut_until: BTreeMap<String, Ms>,
+    many_until: Ms,
     /// `d/` records of jobs that have ended.
     drops: Vec<(String, Stored)>,
     /// `d/` records of jobs that our copy does not show yet.
@@ -222,6 +225,8 @@
             batch_at: 0,
             tidy_at: 0,
             summary_at: 0,
+            cut_until: BTreeMap::new(),
+            many_until: 0,
             drops: vec![],
             early: vec![],
             rereading: false,
@@ -349,10 +354,8 @@
                 self.deposed = true;
                 return;
             }
-            // Without our token it may be as old as the record; nothing follows from it.
-            if report.token < self.term {
-                continue;
-            }
+            // Without our token it may be as old as the record, and shows only that the machine was
+            // there; after a change of leader a cut zone has no other way to tell even that.
             let id = report.machine.clone();
             if self.hear(ctx, report, false) {
                 if let Some(mut m) = self.machines.edit(&id) {
--- a/crates/control/src/leader/silence.rs
+++ b/crates/control/src/leader/silence.rs
@@ -7,6 +7,8 @@
     all: usize,
     quiet: usize,
     deaf: usize,
+    /// Heard through the state service only.
+    far: usize,
 }
 
 impl Leader {
@@ -23,16 +25,24 @@
             if (m.heard.is_some() || m.loaded) && m.life != Life::Deleting {
                 let quiet = usize::from(m.quiet(now, report_s));
                 let deaf = usize::from(m.deaf());
+                let far = usize::from(m.far && quiet == 0);
                 for t in [&mut total, zones.entry(&m.zone).or_default()] {
                     t.all += 1;
                     t.quiet += quiet;
                     t.deaf += deaf;
+                    t.far += far;
                 }
             }
         }
         let part = |n: usize, p: f64| n as f64 > total.all as f64 * p;
+        // What ends does not end for all at once: those that come back later are waited for.
+        let later =
+            now + k::WORKER_TRY_MS * (ctx.set.peers.len() as u64 + 1) + (report_s * 1e3) as u64;
         // When many fall silent together, the trouble is more likely ours, or a cut that ends.
-        let many = total.quiet > k::SILENT_FEW && part(total.quiet, k::SILENT_PART);
+        if settled && total.quiet > k::SILENT_FEW && part(total.quiet, k::SILENT_PART) {
+            self.many_until = later;
+        }
+        let many = now < self.many_until;
         // The same holds when many don't hear us.
         let many_deaf = total.deaf > k::SILENT_FEW && part(total.deaf, k::SILENT_PART);
         if settled && total.all > 1 && ctx.may_resign {
@@ -46,13 +56,17 @@
         }
         let period = (report_s * 1.25 * 1e3) as u64;
         let urgent_ms = (period + 2 * k::WORKER_TRY_MS + k::LOST_URGENT_MS).min(lost_ms);
-        let few = total.quiet <= k::SILENT_FEW || !part(total.quiet, k::SILENT_FEW_PART);
-        // Nearly a whole zone that falls silent is most likely cut off, and comes back.
-        let cut = |zone: &str| {
-            zones.get(zone).is_some_and(|t| {
-                t.quiet > k::SILENT_FEW && t.quiet as f64 >= t.all as f64 * k::SILENT_ZONE_PART
-            })
-        };
+        let few = total.quiet <= k::SILENT_FEW || !many;
+        // Nearly a whole zone that falls silent, or is heard by a node beside it only, is most
+        // likely cut off, and comes back.
+        for (zone, t) in zones {
+            let away = t.quiet + t.far;
+            if away > k::SILENT_FEW && away as f64 >= t.all as f64 * k::SILENT_ZONE_PART {
+                self.cut_until.insert(zone.to_owned(), later);
+            }
+        }
+        let cut_until = &self.cut_until;
+        let cut = |zone: &str| cut_until.get(zone).is_some_and(|until| now < *until);
         let lost_ms = if many { lost_ms * 3 } else { lost_ms };
         let urgent = |m: &Machine| {
             m.placements.iter().any(|p| {
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -107,6 +107,16 @@
     (out, new)
 }
 
+/// Records to be written, the longest waiting first: by number, the last would wait for ever while
+/// the first keep changing.
+fn in_turn(shards: &BTreeMap<u32, Shard>, due: fn(&Shard) -> bool) -> Vec<u32> {
+    let ready = |s: &Shard| due(s) && s.stored.version.is_some() && !s.stored.writing;
+    let ready = shards.iter().filter(|(_, s)| ready(s));
+    let mut order: Vec<(Ms, u32)> = ready.map(|(n, s)| (s.since, *n)).collect();
+    order.sort_unstable();
+    order.into_iter().map(|(_, n)| n).collect()
+}
+
 impl Leader {
     /// Writes what is due, one transaction at a time. Every write names the stamp it replaces,
     /// so that a transaction applied late changes nothing.
@@ -258,16 +268,7 @@
 
     fn flush_shards(&mut self, ctx: &Ctx, draft: &mut Draft, due: fn(&Shard) -> bool) {
         let mut empty = vec![];
-        // What waits longest goes first: by number, the last would wait for ever.
-        let ready = |s: &Shard| due(s) && s.stored.version.is_some() && !s.stored.writing;
-        let mut order: Vec<(Ms, u32)> = self
-            .shards
-            .iter()
-            .filter(|(_, s)| ready(s))
-            .map(|(n, s)| (s.since, *n))
-            .collect();
-        order.sort_unstable();
-        for (_, number) in order {
+        for number in in_turn(&self.shards, due) {
             // What is already full needs no look at the rest.
             if draft.items.len() >= draft.most {
                 draft.full = true;
@@ -538,3 +539,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_record_waits_for_ever_behind_others() {
+        let mut shards = BTreeMap::new();
+        for n in 0..4 {
+            let mut s = Shard::new(Stored::absent());
+            s.add(10 - Ms::from(n), "run-1");
+            shards.insert(n, s);
+        }
+        // It changed again after it was written: behind those that wait.
+        shards.get_mut(&3).expect("there").since = 20;
+        shards.get_mut(&1).expect("there").stored.writing = true;
+        assert_eq!(in_turn(&shards, |s| s.stored.dirty), [2, 0, 3]);
+    }
+}
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -1,6 +1,7 @@
 //! What the leader holds about machines, the tasks that may be on them, and the jobs' work.
 use crate::api::Ms;
 use crate::records::{task_name, Bitmap};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::ops::{Deref, DerefMut};
 use stonegw_constants as k;
@@ -545,6 +546,8 @@
 pub struct Machines {
     map: BTreeMap<String, Machine>,
     sums: Sums,
+    /// Machines looked at so far: what the work comes to, whatever a processor does a second.
+    looks: Cell<u64>,
 }
 
 /// A machine being changed; when it goes, the sums are made right.
@@ -574,13 +577,23 @@
 
 impl Machines {
     pub fn get(&self, id: &str) -> Option<&Machine> {
+        self.looked(1);
         self.map.get(id)
     }
 
     pub fn values(&self) -> impl Iterator<Item = &Machine> {
+        self.looked(self.map.len());
         self.map.values()
     }
 
+    fn looked(&self, n: usize) {
+        self.looks.set(self.looks.get() + n as u64);
+    }
+
+    pub fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
     pub fn len(&self) -> usize {
         self.map.len()
     }
@@ -590,6 +603,7 @@
     }
 
     pub fn edit(&mut self, id: &str) -> Option<Edit<'_>> {
+        self.looked(1);
         let m = self.map.get_mut(id)?;
         let sums = &mut self.sums;
         Some(Edit { m, sums })
@@ -597,6 +611,7 @@
 
     /// Changes each machine in turn.
     pub fn edit_all(&mut self, mut change: impl FnMut(&mut Machine)) {
+        self.looked(self.map.len());
         for m in self.map.values_mut() {
             change(m);
             self.sums.update(m);
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -176,7 +176,8 @@
     state_failed_at: Option<Ms>,
     peers: Vec<Peer>,
     hello_at: Ms,
-    relays: HashMap<u64, (u64, Ms)>,
+    /// Reports on their way to the leader: who waits, until when, and the report.
+    relays: HashMap<u64, (u64, Ms, Vec<u8>)>,
     next_relay: u64,
     /// Counts for display, as the leader last told them.
     counts: HashMap<String, (u32, u32)>,
@@ -188,6 +189,17 @@
     far_slot: usize,
     /// Machines answered without the leader: since when, or when last sent to try it.
     redirected: HashMap<String, Ms>,
+    /// Machines that reported here, and when last.
+    seen: HashMap<String, Ms>,
+    /// Machines that were told to try others while we heard nobody, since when.
+    let_go: HashMap<String, Ms>,
+    /// One of them came back after trying all others in vain.
+    shut_in: bool,
+    /// Those that are away to try it, since when.
+    away: HashMap<String, Ms>,
+    /// The last that tried it came back, and when the next may go.
+    way_shut: bool,
+    try_at: Ms,
     /// Not to stand for election before.
     stand_at: Ms,
     resigned_at: Option<Ms>,
@@ -243,6 +255,12 @@
             far_at: 0,
             far_slot: 0,
             redirected: HashMap::new(),
+            seen: HashMap::new(),
+            let_go: HashMap::new(),
+            shut_in: false,
+            away: HashMap::new(),
+            way_shut: false,
+            try_at: 0,
             stand_at: 0,
             resigned_at: None,
             higher_term: 0,
@@ -320,6 +338,8 @@
         }
         if now >= self.hello_at {
             self.hello_at = now + k::PEER_PING_MS;
+            let old = (self.set.lease_s * 2e3) as u64;
+            self.seen.retain(|_, at| now < *at + old);
             for i in 0..self.peers.len() {
                 if self.peers[i].up {
                     self.hello(Link::Out(i));
@@ -330,13 +350,12 @@
         let late: Vec<u64> = self
             .relays
             .iter()
-            .filter(|(_, (_, until))| now >= *until)
+            .filter(|(_, (_, until, _))| now >= *until)
             .map(|(r, _)| *r)
             .collect();
         for r in late {
-            if let Some((id, _)) = self.relays.remove(&r) {
-                self.out
-                    .error(id, 503, Some(k::RETRY_STATE_S), "no answer from the leader");
+            if let Some((id, _, body)) = self.relays.remove(&r) {
+                self.unrelayed(id, &body);
             }
         }
         self.run_leader(|leader, ctx| leader.advance(ctx));
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -7,6 +7,15 @@
             Ok(r) => r,
             Err(why) => return self.out.error(id, 400, None, &why),
         };
+        if self.alone() {
+            return self.lone_beat(id, report);
+        }
+        self.let_go.clear();
+        self.shut_in = false;
+        match self.seen.get_mut(&report.machine) {
+            Some(at) => *at = self.now.ms,
+            None => drop(self.seen.insert(report.machine.clone(), self.now.ms)),
+        }
         if self.leader.is_some() {
             return match self.lead_beat(report) {
                 Some(orders) => self.out.reply(id, 200, None, &orders),
@@ -25,8 +34,10 @@
             Some(i) if self.peers[i].heard(self.now.ms) => {
                 self.next_relay += 1;
                 let request = self.next_relay;
-                self.relays
-                    .insert(request, (id, self.now.ms + k::RELAY_TIMEOUT_MS));
+                self.relays.insert(
+                    request,
+                    (id, self.now.ms + k::RELAY_TIMEOUT_MS, body.clone()),
+                );
                 self.out.actions.push(Action::Send {
                     to: Link::Out(i),
                     frame: Frame::Report { request, body },
@@ -37,6 +48,18 @@
         }
     }
 
+    /// The leader did not answer a relayed report in time: it may have been cut off from us just
+    /// now, and the worker, sent away, would look for others in vain.
+    pub(super) fn unrelayed(&mut self, id: u64, body: &[u8]) {
+        let leader = self.replica.leader.as_ref().map(|(l, _)| l.node.clone());
+        match (leader, decode::<Report>(body)) {
+            (Some(leader), Ok(report)) if !self.alone() && self.leader.is_none() => {
+                self.far_beat(id, report, leader);
+            }
+            _ => self.cut_off(id),
+        }
+    }
+
     /// How long leases may be kept alive without word from the state service.
     pub(super) fn alone_ms(&self) -> u64 {
         ((self.set.cancel_s - self.set.lease_s).max(0.0) * k::ALONE_PART * 1e3) as u64
@@ -47,24 +70,59 @@
     /// through the state service.
     pub(super) fn far_beat(&mut self, id: u64, report: Report, leader: String) {
         let now = self.now.ms;
-        // The lease comes first: only a machine that has been here for a while is sent to try
-        // the leader itself, and while it tries in vain its lease still lasts.
-        self.redirected
-            .retain(|_, at| now < *at + 2 * k::FAR_REDIRECT_MS);
-        let since = self.redirected.entry(report.machine.clone()).or_insert(now);
-        if now >= *since + k::FAR_REDIRECT_MS {
-            *since = now;
+        if self.try_leader(&report.machine) {
             let node = Some(leader);
             return self.out.reply(id, 421, None, &ReportTo { node });
         }
         // Only while our copy of the jobs and of the term is fresh enough to end in time what
         // is cancelled elsewhere.
         let term = self.replica.term().unwrap_or(0);
-        if self.alone() || now > self.state_ok_at + self.alone_ms() || report.token > term {
-            return self
-                .out
-                .error(id, 503, Some(k::RETRY_STATE_S), "cut off from the leader");
+        if now > self.state_ok_at + self.alone_ms() || report.token > term {
+            return self.cut_off(id);
+        }
+        self.keep_lease(id, &report, term);
+        let entry = self
+            .far
+            .entry(report.machine.clone())
+            .or_insert_with(|| (report.clone(), true, 0));
+        // A late copy of an older report must not replace a newer one.
+        if (report.session, report.seq) > (entry.0.session, entry.0.seq) {
+            entry.1 |= entry.0.tasks != report.tasks || entry.0.session != report.session;
+            entry.0 = report;
         }
+    }
+
+    fn cut_off(&mut self, id: u64) {
+        let why = "cut off from the leader";
+        self.out.error(id, 503, Some(k::RETRY_STATE_S), why);
+    }
+
+    /// A report while we hear neither the state service nor any other node. Its worker is let go,
+    /// for others most likely hear it. Once one comes back after trying them all in vain, or one
+    /// comes that was with another node, the machines here are cut off together with us: their
+    /// leases are kept for as long as cancels told elsewhere allow.
+    fn lone_beat(&mut self, id: u64, report: Report) {
+        let now = self.now.ms;
+        let tries = self.set.peers.len() as u64 * k::WORKER_TRY_MS;
+        let back = self.let_go.get(&report.machine);
+        let new = back.is_none() && !self.seen.contains_key(&report.machine);
+        self.shut_in |= new || back.is_some_and(|at| now + k::WORKER_TRY_MS / 2 > at + tries);
+        let term = match &self.leader {
+            Some(l) => l.term,
+            None => self.replica.term().unwrap_or(0),
+        };
+        let fresh = now <= self.state_ok_at + self.alone_ms();
+        self.higher_term = self.higher_term.max(report.token);
+        if self.shut_in && fresh && term > 0 && self.higher_term <= term {
+            return self.keep_lease(id, &report, term);
+        }
+        self.let_go.entry(report.machine).or_insert(now);
+        self.cut_off(id);
+    }
+
+    /// Answers without the leader: the token renews the lease, what is cancelled is ended, and
+    /// nothing is started.
+    fn keep_lease(&mut self, id: u64, report: &Report, term: u64) {
         let cancelled = |task: &str| {
             let job = records::parse_task(task).map_or("", |t| t.0);
             self.replica.end_of(job) == Some(End::Cancelled)
@@ -85,15 +143,39 @@
             commands,
         };
         self.out.reply(id, 200, None, &orders);
-        let entry = self
-            .far
-            .entry(report.machine.clone())
-            .or_insert_with(|| (report.clone(), true, 0));
-        // A late copy of an older report must not replace a newer one.
-        if (report.session, report.seq) > (entry.0.session, entry.0.seq) {
-            entry.1 |= entry.0.tasks != report.tasks || entry.0.session != report.session;
-            entry.0 = report;
+    }
+
+    /// Whether a machine that reports here is to try the leader itself. The lease comes first: only
+    /// one that has been here for a while is sent, so that its lease lasts while it tries in vain,
+    /// and only a part of them are away at once. When one is back the way is shut, and later only
+    /// a few go and look; when one stays away the way is open, and the others follow.
+    fn try_leader(&mut self, machine: &str) -> bool {
+        let now = self.now.ms;
+        self.redirected
+            .retain(|_, at| now < *at + 2 * k::FAR_REDIRECT_MS);
+        if self.away.remove(machine).is_some() {
+            self.way_shut = true;
+            self.try_at = now + k::FAR_REDIRECT_MS;
+        }
+        let tries = self.set.peers.len() as u64;
+        let arrived = |at: &Ms| now >= at + tries * k::WORKER_TRY_MS + k::FAR_AWAY_MS;
+        if self.away.values().any(arrived) {
+            self.way_shut = false;
+            self.away.retain(|_, at| !arrived(at));
         }
+        let part = if self.way_shut {
+            0
+        } else {
+            self.redirected.len() / k::FAR_TRY_PART
+        };
+        let since = self.redirected.entry(machine.to_owned()).or_insert(now);
+        let stayed = now >= *since + k::FAR_REDIRECT_MS;
+        if !stayed || now < self.try_at || self.away.len() >= part.max(k::FAR_SCOUTS) {
+            return false;
+        }
+        *since = now;
+        self.away.insert(machine.to_owned(), now);
+        true
     }
 
     /// Hands reports on, the longest unheard first, as many as the budget allows.
@@ -171,9 +253,6 @@
     pub(super) fn lead_beat(&mut self, report: Report) -> Option<Orders> {
         self.higher_term = self.higher_term.max(report.token);
         let term = self.leader.as_ref().map(|l| l.term)?;
-        if self.alone() {
-            return None;
-        }
         if report.token > term {
             self.advance_role();
             return None;
@@ -262,7 +341,7 @@
                 status,
                 body,
             } => {
-                if let Some((id, _)) = self.relays.remove(&request) {
+                if let Some((id, ..)) = self.relays.remove(&request) {
                     self.out.actions.push(Action::Reply {
                         id,
                         status,
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -375,6 +375,17 @@
             })
             .collect();
         order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
+        if order.is_empty() {
+            return;
+        }
+        // Machines with any room: looked for once, not for each task.
+        let roomy: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| self.open(ctx, m))
+            .filter(|m| self.kind(&m.kind).is_some_and(|t| m.free(t).0 > k::EPSILON))
+            .map(|m| m.id.clone())
+            .collect();
         // Room that is being made for some of them already.
         let mut claims = self.claims(now);
         let mut none: Vec<Shape> = vec![];
@@ -384,7 +395,7 @@
                 continue;
             };
             let full = shape.as_ref().is_some_and(|s| none.contains(s));
-            if !full && self.fill(ctx, &job, urgent) {
+            if !full && self.fill(ctx, &job, urgent, &roomy) {
                 continue;
             }
             let Some(w) = self.works.get(&job) else {
@@ -405,7 +416,7 @@
     }
 
     /// Places tasks of a job first fit. False: there is no room for the next one.
-    fn fill(&mut self, ctx: &Ctx, job: &str, urgent: bool) -> bool {
+    fn fill(&mut self, ctx: &Ctx, job: &str, urgent: bool, roomy: &[String]) -> bool {
         let mut target: Option<String> = None;
         loop {
             let Some(w) = self.works.get(job) else {
@@ -433,11 +444,10 @@
                 .take()
                 .filter(|id| self.machines.get(id).is_some_and(takes));
             target = same.or_else(|| {
-                self.machines
-                    .values()
-                    .filter(|m| takes(m))
-                    .min_by_key(|m| self.first_fit(m, spec))
-                    .map(|m| m.id.clone())
+                let roomy = roomy.iter().filter_map(|id| self.machines.get(id));
+                let best = roomy.filter(|m| takes(m));
+                let best = best.min_by_key(|m| self.first_fit(m, spec));
+                best.map(|m| m.id.clone())
             });
             let Some(id) = &target else { return false };
             let id = id.clone();
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -15,7 +15,7 @@
             echo "STALE  $1: the guard was not found in $file"; bad=1; return
         fi
     done
-    out="$(cd "$copy" && CARGO_TARGET_DIR="$copy/target" cargo test -q --locked -p stonegw-testkit --test traces "$1" 2>&1 || true)"
+    out="$(cd "$copy" && CARGO_TARGET_DIR="$copy/target" cargo test -q --locked -p stonegw-testkit --tests "$1" 2>&1 || true)"
     # A rule the stand-in checks, or what the trace expects.
     if grep -q "BROKEN $2" <<<"$out" || { [ "$2" = expect ] && grep -q "panicked" <<<"$out"; }; then echo "ok     $1 breaks $2 without its guard"
     else echo "ALIVE  $1 does not break $2"; tail -5 <<<"$out"; bad=1; fi
@@ -39,4 +39,8 @@
 mutant back_at_once expect "node/elect.rs" 's/conditions: vec!\[Condition \{\s+key: LEADER\.into\(\),\s+version: 0,\s+\}\],/conditions: vec![],/'
 mutant large_zone_cut expect "node/relay.rs" 's/if bytes \+ size > room \{/if !batch.is_empty() {/'
 mutant many_deaf expect "leader/silence.rs" 's/if many_deaf \{ 3 \* lease_ms/if false { 3 * lease_ms/'
+mutant zone_cut_off expect "node/relay.rs" 's/if self\.shut_in && fresh/if false \&\& fresh/'
+mutant zone_cut_off expect "leader/silence.rs" 's/self\.cut_until\.insert\(zone\.to_owned\(\), later\)/self.cut_until.insert(zone.to_owned(), now + 1)/'
+mutant zone_cut_new_leader expect "fleet.rs" 's/let over = if m\.listed_up \{/let over = if false {/'
+mutant work_grows expect "schedule.rs" 's/let fetch = seat\.fetch_s\(c\);/let fetch = seat.fetch_s(c);\n            let _ = self.machines.get(\&seat.id);/'
 exit $bad
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -66,4 +66,6 @@
     many_deaf,
     all_at_once,
     large_fleet,
+    zone_cut_off,
+    zone_cut_new_leader,
 );
--- /dev/null
+++ b/crates/testkit/tests/work.rs
@@ -0,0 +1,37 @@
+//! The leader's work at two sizes of fleet, counted in machines looked at, never in time: it grows with
+//! the fleet, not with its square.
+
+/// Machines that the leader looked at while a fleet of that size is at work, nearly full.
+fn looks(machines: u32) -> u64 {
+    let text = format!(
+        "machines {machines} a
+         capacity {machines}
+         state-rps 400
+         write-rps 400
+         team red {most} {most}
+         team blue {most} {most}
+         2 arrive {service_s} {services} 10000 standing 1 cpus 1 priority high
+         4 arrive {array_s} {arrays} 20000 sweep 40 run 12 due 60 team blue
+         until 40",
+        most = machines * 8,
+        service_s = 40.0 / f64::from(machines),
+        services = machines / 4,
+        array_s = 250.0 / f64::from(machines),
+        arrays = machines / 10,
+    );
+    let sim = stonegw_testkit::trace::play(&text);
+    assert!(sim.broken.is_empty(), "{:#?}", sim.broken);
+    assert!(sim.jobs.values().filter(|j| j.begun.is_some()).count() > machines as usize / 4);
+    let node = sim.nodes[sim.leader().expect("a leader")].as_ref();
+    let leader = node.and_then(|n| n.leader.as_ref()).expect("a leader");
+    leader.machines.looks()
+}
+
+#[test]
+fn work_grows_with_the_fleet_and_not_with_its_square() {
+    let (small, large) = (looks(200), looks(800));
+    // Four times the fleet: four times the work, or sixteen times if it were the square.
+    let times = large as f64 / small as f64;
+    println!("{small} and {large}: {times:.1} times");
+    assert!(times < 8.0, "{small} and {large}: {times:.1} times");
+}
