--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -278,6 +278,9 @@
 pub const BIN_S: f64 = 3.0;
 /// Chances closer than this are equal: the curves are no finer.
 pub const CHANCE_STEP: f64 = 0.02;
+/// s; finishes closer than this are equal: the cheaper machine wins, then the tighter fit, so that
+/// others fall idle and can be returned.
+pub const FINISH_STEP_S: f64 = 1.0;
 /// Quantile factors of the seed around an owner's estimate ("often wrong by half").
 pub const SEED_FACTORS: [f64; 7] = [0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0];
 /// How many seeds one observed run time outweighs.
--- a/crates/sched/src/pam.rs
+++ b/crates/sched/src/pam.rs
@@ -2,7 +2,7 @@
 //! pair goes first. Tasks of a job are alike, so a job stands for all its waiting tasks.
 use crate::curve::Curve;
 use std::rc::Rc;
-use stonegw_constants::{CHANCE_STEP, EPSILON, HELD};
+use stonegw_constants::{CHANCE_STEP, EPSILON, FINISH_STEP_S, HELD};
 
 /// A task on a machine's queue as the mapping sees it: when it ends and what it then frees.
 #[derive(Clone, Debug)]
@@ -155,7 +155,7 @@
         if d.abs() > CHANCE_STEP {
             return d > 0.0;
         }
-        if (self.finish - other.finish).abs() > 1.0 {
+        if (self.finish - other.finish).abs() > FINISH_STEP_S {
             return self.finish < other.finish;
         }
         if (self.price - other.price).abs() > 1e-9 {
@@ -166,7 +166,7 @@
 
     /// Whether an offer with no better chance and no sooner finish than these could win.
     pub fn beatable(&self, chance: f64, finish: f64) -> bool {
-        chance - self.chance > CHANCE_STEP || finish <= self.finish + 1.0
+        chance - self.chance > CHANCE_STEP || finish <= self.finish + FINISH_STEP_S
     }
 }
 
