--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -183,9 +183,11 @@
 /// ms after which a machine answered without the leader is sent to try it: a round of vain
 /// tries takes 10 s, which with this stays within the shortest lease in use.
 pub const FAR_REDIRECT_MS: u64 = 14_000;
-/// One in so many of them may be away for it at once.
-pub const FAR_TRY_PART: usize = 4;
-/// So many may always be: one of them may have ended.
+/// One in so many of them may leave for it together: half, for a wave takes time that commands wait.
+pub const FAR_TRY_PART: usize = 2;
+/// ms between two such waves: one vain try and a bit, so that the first may be back.
+pub const FAR_WAVE_MS: u64 = 6_000;
+/// So many may always leave: one of them may have ended.
 pub const FAR_SCOUTS: usize = 3;
 /// ms on top of a vain try of each other node after which one that is away has found the leader.
 pub const FAR_AWAY_MS: u64 = 2_000;
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -147,7 +147,7 @@
 
     /// Whether a machine that reports here is to try the leader itself. The lease comes first: only
     /// one that has been here for a while is sent, so that its lease lasts while it tries in vain,
-    /// and only a part of them are away at once. When one is back the way is shut, and later only
+    /// and only a part of them leave together. When one is back the way is shut, and later only
     /// a few go and look; when one stays away the way is open, and the others follow.
     fn try_leader(&mut self, machine: &str) -> bool {
         let now = self.now.ms;
@@ -170,7 +170,9 @@
         };
         let since = self.redirected.entry(machine.to_owned()).or_insert(now);
         let stayed = now >= *since + k::FAR_REDIRECT_MS;
-        if !stayed || now < self.try_at || self.away.len() >= part.max(k::FAR_SCOUTS) {
+        let wave = |at: &&Ms| now < **at + k::FAR_WAVE_MS;
+        let wave = self.away.values().filter(wave).count();
+        if !stayed || now < self.try_at || wave >= part.max(k::FAR_SCOUTS) {
             return false;
         }
         *since = now;
