Read again: a relayed report is kept as it was decoded; one way to read from the state

A relayed report was copied as bytes for each relay and decoded a second time when the leader didn't answer; now what was decoded is kept. The leader's two reads of the state service share one call. Results in turn are a range of the set instead of two lists; what is promised of a class is asked once; a wait of three leases no longer has the name of silence.rs' shorter one.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -198,7 +198,7 @@
         let usual = self.fleet.usual.clone();
         let types = self.catalog.types.clone();
         let idle_boots = ctx.set.tuning.idle_boots;
-        let lost_ms = (ctx.set.lease_s * 3e3) as u64;
+        let wait_ms = (ctx.set.lease_s * 3e3) as u64;
         self.machines.edit_all(|m| {
             let unsettled = m
                 .placements
@@ -214,7 +214,7 @@
                     // One that the list calls running is up, and not heard yet by a new leader; it
                     // may be behind a cut.
                     let over = if m.listed_up {
-                        now > m.known_since + lost_ms
+                        now > m.known_since + wait_ms
                     } else {
                         age > boot * k::BOOT_GIVE_UP
                     };
@@ -463,14 +463,14 @@
                 // deadline and by all that is promised of its class: then few machines that work
                 // for a while are better than many for one run each.
                 let age = ctx.now.wall_ms.saturating_sub(w.at) as f64 / 1e3;
-                let promises = ctx.set.promised(&s.class, run).map(|p| p - age);
+                let promises: Vec<f64> = ctx.set.promised(&s.class, run).map(|p| p - age).collect();
                 let reachable = boot + run * k::RUN_ROOM;
-                let next = promises.chain([due]).filter(|d| *d >= reachable);
+                let targets = promises.iter().copied().chain([due]);
+                let next = targets.filter(|d| *d >= reachable);
                 let next = next.min_by(f64::total_cmp);
                 let due = next.unwrap_or(boot + run * k::LATE_ROOM);
                 // Where more than the deadline is promised, lateness goes on to matter.
-                let mut promised = ctx.set.promised(&s.class, run);
-                let late = next.is_none() && promised.next().is_some();
+                let late = next.is_none() && !promises.is_empty();
                 dated.push((due, run, s.clone(), n, late));
                 continue;
             }
--- a/crates/control/src/leader/load.rs
+++ b/crates/control/src/leader/load.rs
@@ -15,15 +15,7 @@
                 if let Some(a) = after {
                     path.push_str(&format!("&since={a}"));
                 }
-                let wait = k::STATE_TIMEOUT_MS;
-                ctx.call(
-                    Call::Load { prefix },
-                    Target::State,
-                    "GET",
-                    path,
-                    vec![],
-                    wait,
-                );
+                ctx.read(Call::Load { prefix }, path);
             }
             None => {
                 // The copy of the jobs was complete when the term began or is caught up by the
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -56,6 +56,12 @@
         self.calls.push((id, what));
         id
     }
+
+    /// Reads from the state service.
+    pub fn read(&mut self, what: Call, path: String) {
+        let wait = k::STATE_TIMEOUT_MS;
+        self.call(what, Target::State, "GET", path, vec![], wait);
+    }
 }
 
 /// A machine's name and an attempt on it.
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -220,9 +220,7 @@
         let mut settled = vec![];
         // In turn, so that none is passed over for long.
         let next = std::mem::take(&mut self.results_next);
-        let (after, before): (Vec<&String>, Vec<&String>) =
-            self.due.iter().partition(|id| **id >= next);
-        for id in after.into_iter().chain(before) {
+        for id in self.due.range(next.clone()..).chain(self.due.range(..next)) {
             if left == 0 {
                 self.results_next = id.clone();
                 break;
@@ -504,15 +502,7 @@
         if ctx.reads.take(now, 1.0) {
             self.rereading = true;
             let path = format!("/kv/{}", item_key(&item));
-            let wait = k::STATE_TIMEOUT_MS;
-            ctx.call(
-                Call::Reread { item },
-                Target::State,
-                "GET",
-                path,
-                vec![],
-                wait,
-            );
+            ctx.read(Call::Reread { item }, path);
         }
         true
     }
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -177,7 +177,7 @@
     peers: Vec<Peer>,
     hello_at: Ms,
     /// Reports on their way to the leader: who waits, until when, and the report.
-    relays: HashMap<u64, (u64, Ms, Vec<u8>)>,
+    relays: HashMap<u64, (u64, Ms, Report)>,
     next_relay: u64,
     /// Counts for display, as the leader last told them.
     counts: HashMap<String, (u32, u32)>,
@@ -354,8 +354,8 @@
             .map(|(r, _)| *r)
             .collect();
         for r in late {
-            if let Some((id, _, body)) = self.relays.remove(&r) {
-                self.unrelayed(id, &body);
+            if let Some((id, _, report)) = self.relays.remove(&r) {
+                self.unrelayed(id, report);
             }
         }
         self.run_leader(|leader, ctx| leader.advance(ctx));
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -34,10 +34,8 @@
             Some(i) if self.peers[i].heard(self.now.ms) => {
                 self.next_relay += 1;
                 let request = self.next_relay;
-                self.relays.insert(
-                    request,
-                    (id, self.now.ms + k::RELAY_TIMEOUT_MS, body.clone()),
-                );
+                let until = self.now.ms + k::RELAY_TIMEOUT_MS;
+                self.relays.insert(request, (id, until, report));
                 self.out.actions.push(Action::Send {
                     to: Link::Out(i),
                     frame: Frame::Report { request, body },
@@ -50,10 +48,9 @@
 
     /// The leader did not answer a relayed report in time: it may have been cut off from us just
     /// now, and the worker, sent away, would look for others in vain.
-    pub(super) fn unrelayed(&mut self, id: u64, body: &[u8]) {
-        let leader = self.replica.leader.as_ref().map(|(l, _)| l.node.clone());
-        match (leader, decode::<Report>(body)) {
-            (Some(leader), Ok(report)) if !self.alone() && self.leader.is_none() => {
+    pub(super) fn unrelayed(&mut self, id: u64, report: Report) {
+        match self.replica.leader.as_ref().map(|(l, _)| l.node.clone()) {
+            Some(leader) if !self.alone() && self.leader.is_none() => {
                 self.far_beat(id, report, leader);
             }
             _ => self.cut_off(id),
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -527,6 +527,7 @@
     }
 
     fn answered(&mut self, key: usize, got: Got) {
+        let now = self.now();
         let Some(c) = self.conns.get_mut(&key) else {
             return;
         };
@@ -548,7 +549,7 @@
                 self.out.push(NetEvent::CallDone { call: id, result });
                 if keep {
                     self.idle.entry(addr).or_default().push(key);
-                    c.deadline = self.start.elapsed().as_millis() as u64 + k::IDLE_CALL_MS;
+                    c.deadline = now + k::IDLE_CALL_MS;
                 } else {
                     self.close(key);
                 }
