Move inline tests into test files; no test changed

Tests that use only public items go to the crate's tests/ folder, the others to <name>_tests.rs beside the source, declared by #[path].

--- /dev/null
+++ b/crates/control/src/replica_tests.rs
@@ -0,0 +1,18 @@
+use super::*;
+
+#[test]
+fn an_old_removal_does_not_unseat_a_newer_leader() {
+    let mut r = Replica::default();
+    let l = LeaderRecord {
+        node: "a".into(),
+        nonce: 1,
+        lease: 1,
+    };
+    r.we_lead(l.clone(), 10);
+    r.delete(LEADER, 8);
+    assert_eq!(r.term(), Some(10));
+    r.delete(LEADER, 11);
+    assert_eq!(r.term(), None);
+    r.we_lead(l, 10);
+    assert_eq!(r.term(), None);
+}
--- /dev/null
+++ b/crates/stonegwd/src/settings_tests.rs
@@ -0,0 +1,100 @@
+use super::*;
+
+const GOOD: &str = r#"
+    node = "a"
+    site = "z"
+    client_listen = "10.0.0.1:8080"
+    cluster_listen = "10.0.0.1:8081"
+    not_known_yet = 1
+    [[known]]
+    node = "b"
+    site = "z"
+    endpoint = "10.0.0.2:8081"
+    [external]
+    cloud = "10.2.0.2:8443"
+    state = "10.2.0.1:2379"
+    [deployment]
+    zones = ["z"]
+    [[deployment.teams]]
+    name = "t"
+    cpus = 1.0
+    cpus_max = 2.0
+    [[deployment.objectives]]
+    kind = "finished"
+    class = "c"
+    within_s = 300.0
+    share = 0.9
+    [[deployment.objectives]]
+    kind = "guarantee"
+    share = 0.9
+    [deployment.workers]
+    report_s = 3.0
+    lease_s = 24.0
+    cancel_s = 54.0
+    [deployment.state]
+    rps = 150.0
+    write_rps = 60.0
+    value_kb = 8.0
+    txn_ops = 32
+    [deployment.cloud]
+    rps = 1.5
+    list_lag_s = 12.0
+    [deployment.limits]
+    max_sockets = 1500
+"#;
+
+#[test]
+fn wrong_settings_name_the_field() {
+    let Ok(good) = platform(GOOD, Tuning::default()) else {
+        panic!("good settings are refused");
+    };
+    let promised: Vec<f64> = good.core.promised("c", 5.0).collect();
+    assert_eq!(promised, [300.0]);
+    for (from, to, field) in [
+        ("node = \"a\"", "node = \"\"", "node"),
+        ("rps = 150.0", "rps = -1.0", "deployment.state.rps"),
+        (
+            "lease_s = 24.0",
+            "lease_s = nan",
+            "deployment.workers.lease_s",
+        ),
+        ("txn_ops = 32", "txn_ops = 0", "deployment.state.txn_ops"),
+        ("10.2.0.1:2379", "state:2379", "external.state"),
+        (
+            "report_s = 3.0",
+            "",
+            "deployment.workers: missing field `report_s`",
+        ),
+        (
+            "cancel_s = 54.0",
+            "cancel_s = true",
+            "deployment.workers.cancel_s",
+        ),
+        ("node = \"b\"", "node = \"a\"", "known.node"),
+        (
+            "max_sockets = 1500",
+            "max_sockets = 100",
+            "deployment.limits.max_sockets",
+        ),
+        (
+            "within_s = 300.0",
+            "within_s = -1.0",
+            "deployment.objectives.within_s",
+        ),
+    ] {
+        let text = GOOD.replacen(from, to, 1);
+        let why = platform(&text, Tuning::default()).err().expect(field);
+        assert!(why.contains(field) && !why.contains('\n'), "{field}: {why}");
+    }
+}
+
+#[test]
+fn the_operators_file_is_strict() {
+    let t = operators("spare_tasks = 4\nidle_boots = 1.5\n").unwrap();
+    assert_eq!((t.spare_tasks, t.idle_boots), (4.0, 1.5));
+    assert!(operators("spare_task = 4\n").is_err());
+    assert!(operators("slack_use = 0\n")
+        .unwrap_err()
+        .contains("slack_use"));
+    assert_eq!(operators("").unwrap().map_ms, Tuning::default().map_ms);
+}
--- /dev/null
+++ b/crates/wire/tests/http.rs
@@ -0,0 +1,63 @@
+use stonegw_constants::{MAX_HEAD, MAX_HEADERS};
+use stonegw_wire::http::*;
+
+#[test]
+fn a_request_split_at_every_byte_parses_the_same() {
+    let mut raw = Vec::new();
+    write_request(&mut raw, "POST", "h:1", "/submissions", b"\x81\xa1a\x01");
+    let whole = parse_request(&raw, 100).unwrap().unwrap();
+    assert_eq!(whole.1, raw.len());
+    assert_eq!(whole.0.body, b"\x81\xa1a\x01");
+    for cut in 0..raw.len() {
+        assert_eq!(parse_request(&raw[..cut], 100), Ok(None), "cut at {cut}");
+    }
+}
+
+#[test]
+fn a_response_split_at_every_byte_parses_the_same() {
+    let mut raw = Vec::new();
+    write_response(&mut raw, 503, Some(2), true, b"abc");
+    let (r, n) = parse_response(&raw, 100).unwrap().unwrap();
+    assert_eq!(
+        (r.status, r.close, r.body.as_slice(), n),
+        (503, true, &b"abc"[..], raw.len())
+    );
+    for cut in 0..raw.len() {
+        assert_eq!(parse_response(&raw[..cut], 100), Ok(None), "cut at {cut}");
+    }
+}
+
+#[test]
+fn bad_heads_get_their_status() {
+    let long = format!("GET / HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(MAX_HEAD));
+    let many = format!(
+        "GET / HTTP/1.1\r\n{}\r\n",
+        "A: b\r\n".repeat(MAX_HEADERS + 1)
+    );
+    for (raw, status) in [
+        ("GET /\r\n\r\n", 400),
+        ("get / HTTP/1.1\r\n\r\n", 400),
+        ("GET x HTTP/1.1\r\n\r\n", 400),
+        ("GET / HTTP/2.0\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\n A: folded\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nContent-Length: +4\r\n\r\n", 400),
+        (
+            "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            400,
+        ),
+        ("POST / HTTP/1.1\r\n\r\n", 411),
+        ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 501),
+        ("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", 413),
+        (
+            "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+            413,
+        ),
+        (&long, 431),
+        (&many, 431),
+    ] {
+        let got = parse_request(raw.as_bytes(), 100).map_err(HttpError::status);
+        assert_eq!(got, Err(status), "{raw:.60}");
+    }
+    assert!(parse_request(b"\xff\xfe / HTTP/1.1\r\n\r\n", 9).is_err());
+}
