--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -97,6 +97,8 @@
     LoseAnswer(String),
     /// The transaction reaches the state service only so much later.
     Delay(String, Ms),
+    /// The state service applies it, but its answer arrives only so much later.
+    SlowAnswer(String, Ms),
 }
 
 /// What users know of a job.
@@ -148,6 +150,8 @@
     pub zone_cut: Option<(String, usize, Ms)>,
     /// A node that reaches neither the state service nor other nodes, but its workers, until.
     pub lone: Option<(usize, Ms)>,
+    /// Pairs of nodes, the lower first, that don't hear each other, until.
+    pub cut_peers: BTreeMap<(usize, usize), Ms>,
     /// Until when answers and commands don't reach a machine, though its reports arrive.
     pub deaf: BTreeMap<String, Ms>,
     /// Machines that stopped by themselves.
@@ -249,6 +253,7 @@
             kept: Default::default(),
             zone_cut: None,
             lone: None,
+            cut_peers: BTreeMap::new(),
             deaf: BTreeMap::new(),
             dead: BTreeSet::new(),
             team_bound: BTreeMap::new(),
@@ -387,7 +392,26 @@
         cut.is_some_and(|(z, inside, _)| (zone == z) != (node == *inside))
     }
 
+    /// Two nodes lose the links between them, and dial anew when the cut is over.
+    pub fn cut_peers(&mut self, a: usize, b: usize, lag: Ms) {
+        let until = self.now + lag;
+        self.cut_peers.insert((a.min(b), a.max(b)), until);
+        for (node, other) in [(a, b), (b, a)] {
+            let link = self.link(node, other).expect("known");
+            self.give(node, Event::LinkDown(Link::Out(link)));
+            self.at(until, Step::LinkUp(node, self.lives[node], other));
+        }
+    }
+
+    fn links_cut(&self, a: usize, b: usize) -> bool {
+        let until = self.cut_peers.get(&(a.min(b), a.max(b)));
+        until.is_some_and(|until| self.now < *until)
+    }
+
     fn nodes_apart(&self, a: usize, b: usize) -> bool {
+        if self.links_cut(a, b) {
+            return true;
+        }
         let lone = self.lone.filter(|l| self.now < l.1);
         if lone.is_some_and(|(n, _)| (n == a) != (n == b)) {
             return true;
@@ -585,7 +609,8 @@
                 }
             }
             Step::LinkUp(node, life, other) => {
-                if self.lives[node] == life && self.nodes[other].is_some() {
+                let open = self.nodes[other].is_some() && !self.links_cut(node, other);
+                if self.lives[node] == life && open {
                     let link = self.link(node, other).expect("known");
                     self.give(node, Event::LinkUp(Link::Out(link)));
                 }
@@ -713,6 +738,13 @@
                 None
             }
         });
+        let slow = self.trapped(path, body, |t| {
+            if let Trap::SlowAnswer(k, _) = t {
+                Some(k)
+            } else {
+                None
+            }
+        });
         let answer = self.state.handle(self.now, method, path, body);
         self.wake_watches();
         if let Some(Trap::CrashAfter(_, back)) = after {
@@ -721,8 +753,15 @@
         if let Some(Trap::LoseAnswer(key)) = lose {
             return self.note(format!("the answer to a transaction on {key} is lost"));
         }
+        let lag = match slow {
+            Some(Trap::SlowAnswer(key, ms)) => {
+                self.note(format!("the answer to a transaction on {key} is late"));
+                ms
+            }
+            _ => STATE_MS,
+        };
         match answer {
-            Some(a) => self.answer(node, life, call, STATE_MS, a),
+            Some(a) => self.answer(node, life, call, lag, a),
             None => {
                 let get = |name: &str| {
                     let q = path.split_once('?').map_or("", |q| q.1);
@@ -1174,15 +1213,35 @@
         let Some(j) = self.jobs.get_mut(id) else {
             return;
         };
-        if let Some(old) = j.asking.take() {
-            self.asks.remove(&old);
-        }
         if (400..500).contains(&j.status) && j.status != 429 && !j.accepted {
             return;
         }
+        let alive: Vec<usize> = (0..self.nodes.len())
+            .filter(|i| self.nodes[*i].is_some())
+            .collect();
+        if alive.is_empty() {
+            return;
+        }
+        self.turn += 1;
+        let node = alive[(self.turn + self.turn / alive.len()) % alive.len()];
+        self.user_asks(id, node);
+    }
+
+    /// The user asks to cancel in this moment, at that node first.
+    pub fn cancel_now(&mut self, id: &str, node: usize) {
+        if let Some(j) = self.jobs.get_mut(id) {
+            j.cancel_asked = true;
+            self.user_asks(id, node);
+        }
+    }
+
+    fn user_asks(&mut self, id: &str, node: usize) {
         self.next_ask += 1;
         let ask = self.next_ask;
-        j.asking = Some(ask);
+        let j = self.jobs.get_mut(id).expect("job");
+        if let Some(old) = j.asking.replace(ask) {
+            self.asks.remove(&old);
+        }
         let path = format!("/submissions/{id}");
         let (asker, method, path, body) = if !j.accepted {
             (
@@ -1202,14 +1261,6 @@
             (Asker::Poll(id.into()), "GET", path, vec![])
         };
         self.asks.insert(ask, asker);
-        let alive: Vec<usize> = (0..self.nodes.len())
-            .filter(|i| self.nodes[*i].is_some())
-            .collect();
-        if alive.is_empty() {
-            return;
-        }
-        self.turn += 1;
-        let node = alive[(self.turn + self.turn / alive.len()) % alive.len()];
         self.ask(ask, node, method, &path, body);
     }
 
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -1,5 +1,6 @@
 //! Reads and plays the scenarios in `traces/`: one line an event, `#` comments. Where a line takes
 //! a MACHINE to `cut`, make `deaf`, `hang` or `die`, it also takes several: `host-000010..000019`.
+//! A node is its number, `leader`, or `follower` and `other`: the first and the last that don't lead.
 //!
 //! | line | meaning |
 //! | --- | --- |
@@ -12,16 +13,19 @@
 //! | `capacity N` | machines the cloud has at most |
 //! | `T submit JOB KIND N [key value]...` | keys: cpus, run, due, team, zone, priority, image |
 //! | `T cancel JOB` | its user asks to cancel |
+//! | `T cancel-now JOB N` | likewise, in this very moment and at that node |
 //! | `T crash leader\|all\|N [BACK]` | the process ends, back after so many seconds (4) |
 //! | `T trap crash-before\|crash-after KEY [BACK]` | the process ends before or after the next transaction on such a key |
 //! | `T trap lose-answer KEY` | its answer is lost |
 //! | `T trap delay KEY S` | that transaction arrives so much later |
+//! | `T trap slow-answer KEY S` | it is carried out, but its answer arrives so much later |
 //! | `T refuse leader\|all\|N S` | the state service answers it 503 |
 //! | `T hang MACHINE S` | it stands still with its tasks; what is sent to it arrives afterwards |
 //! | `T die MACHINE` | it stops with all that is on it |
 //! | `T cut MACHINE S` | the machine's network; what is sent to it arrives afterwards |
 //! | `T cut-zone ZONE NODE S` | the zone's machines and that node reach nobody else but the state service |
 //! | `T lone N S` | the node reaches neither the state service nor other nodes, but its workers |
+//! | `T cut-peers A B S` | the links between two nodes are down |
 //! | `T deaf MACHINE S` | its reports arrive, answers don't; commands arrive afterwards |
 //! | `T copy-reports MACHINE LAG` | from now on its reports arrive once more so much later, elsewhere |
 //! | `T copy-do MACHINE LAG` | direct commands to it are carried out once more so much later |
@@ -89,9 +93,17 @@
 }
 
 fn targets(sim: &Sim, who: &str) -> Vec<usize> {
+    let follows = |n: &usize| sim.leader() != Some(*n);
     match who {
         "leader" => sim.leader().into_iter().collect(),
         "all" => (0..sim.nodes.len()).collect(),
+        // The first and the last node that doesn't lead.
+        "follower" => (0..sim.nodes.len()).find(follows).into_iter().collect(),
+        "other" => (0..sim.nodes.len())
+            .rev()
+            .find(follows)
+            .into_iter()
+            .collect(),
         n => vec![n.parse().expect("node")],
     }
 }
@@ -170,6 +182,15 @@
                 j.cancel_asked = true;
             }
         }
+        "cancel-now" => {
+            for n in targets(sim, word(2)) {
+                sim.cancel_now(word(1), n);
+            }
+        }
+        "cut-peers" => {
+            let (a, b) = (targets(sim, word(1)), targets(sim, word(2)));
+            sim.cut_peers(a[0], b[0], ms(word(3)));
+        }
         "crash" => {
             let back = if word(2).is_empty() {
                 4_000
@@ -191,6 +212,7 @@
                 "crash-before" => Trap::CrashBefore(key, back),
                 "crash-after" => Trap::CrashAfter(key, back),
                 "lose-answer" => Trap::LoseAnswer(key),
+                "slow-answer" => Trap::SlowAnswer(key, ms(word(3))),
                 "delay" => Trap::Delay(key, ms(word(3))),
                 other => panic!("unknown trap {other}"),
             });
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -68,4 +68,8 @@
     large_fleet,
     zone_cut_off,
     zone_cut_new_leader,
+    gap_follower_refused,
+    gap_leader_cut,
+    gap_no_leader_yet,
+    state_outage_beyond_cancel,
 );
