--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -109,6 +109,8 @@
     pub ended: Option<JobPhase>,
     pub cancel_asked: bool,
     pub cancelled_at: Option<Ms>,
+    /// Its user cancels so much after the end of its last task.
+    pub cancel_at_end: Option<Ms>,
     pub finished: BTreeSet<u32>,
     asking: Option<u64>,
     pub status: u16,
@@ -126,6 +128,11 @@
     Probe,
 }
 
+/// Values from one bound to the other that differ much from one to the next, always the same.
+fn spaced(n: u64, from: Ms, to: Ms) -> Ms {
+    from + n * 37 % 100 * (to - from) / 100
+}
+
 pub struct Sim {
     pub now: Ms,
     seq: u64,
@@ -152,6 +159,20 @@
     pub lone: Option<(usize, Ms)>,
     /// Pairs of nodes, the lower first, that don't hear each other, until.
     pub cut_peers: BTreeMap<(usize, usize), Ms>,
+    /// Frames between these two are held back, and arrive in order, until.
+    pub hold_frames: BTreeMap<(usize, usize), Ms>,
+    /// Until when the state service takes so much longer, half of it each way.
+    pub slow_state: Option<(Ms, Ms)>,
+    /// One in so many transactions is carried out late, without an answer, until; and how many
+    /// have been seen.
+    pub late_writes: Option<(u64, Ms)>,
+    writes_seen: u64,
+    /// A copy of one in so many reports arrives so much later at another node: how many, from and
+    /// to how much later, until; and how many have been seen.
+    pub late_reports: Option<(u64, Ms, Ms, Ms)>,
+    reports_seen: u64,
+    /// Until when a machine's reports reach no node, though commands reach it.
+    pub mute: BTreeMap<String, Ms>,
     /// Until when answers and commands don't reach a machine, though its reports arrive.
     pub deaf: BTreeMap<String, Ms>,
     /// Machines that stopped by themselves.
@@ -254,6 +275,13 @@
             zone_cut: None,
             lone: None,
             cut_peers: BTreeMap::new(),
+            hold_frames: BTreeMap::new(),
+            slow_state: None,
+            late_writes: None,
+            writes_seen: 0,
+            late_reports: None,
+            reports_seen: 0,
+            mute: BTreeMap::new(),
             deaf: BTreeMap::new(),
             dead: BTreeSet::new(),
             team_bound: BTreeMap::new(),
@@ -506,8 +534,10 @@
                     return;
                 }
                 let life = self.lives[other];
+                let pair = (node.min(other), node.max(other));
+                let held = self.hold_frames.get(&pair).copied().unwrap_or(0);
                 self.at(
-                    self.now + WIRE_MS,
+                    held.max(self.now + WIRE_MS),
                     Step::Frame {
                         to: other,
                         life,
@@ -548,6 +578,12 @@
                     self.note(format!("a transaction on {key} is held back"));
                     lag = ms;
                 }
+                if path == "/multi" {
+                    lag = self.late_write().unwrap_or(lag);
+                }
+                if target == Target::State {
+                    lag += self.state_lag();
+                }
                 self.open.insert((node, call), life);
                 let timeout = Step::Answer {
                     node,
@@ -570,6 +606,24 @@
         }
     }
 
+    /// How late this transaction arrives, if it is one of the late ones: 2 to 12 s, which is after
+    /// its sender gave it up.
+    fn late_write(&mut self) -> Option<Ms> {
+        let (every, _) = self.late_writes.filter(|l| self.now < l.1)?;
+        self.writes_seen += 1;
+        (self.writes_seen % every == 0).then(|| {
+            let lag = spaced(self.writes_seen / every, 2_000, 12_000);
+            self.note(format!("a transaction is {} s late", lag as f64 / 1e3));
+            lag
+        })
+    }
+
+    fn state_lag(&self) -> Ms {
+        self.slow_state
+            .filter(|l| self.now < l.1)
+            .map_or(0, |l| l.0 / 2)
+    }
+
     fn answer(&mut self, node: usize, life: u64, call: u64, lag: Ms, answer: (u16, Vec<u8>)) {
         let step = Step::Answer {
             node,
@@ -704,12 +758,23 @@
         node: usize,
         life: u64,
         call: u64,
-        method: &str,
+        method: &'static str,
         path: &str,
         body: &[u8],
     ) {
-        if self.lone.is_some_and(|l| l.0 == node && self.now < l.1) {
-            return;
+        if let Some((_, until)) = self.lone.filter(|l| l.0 == node && self.now < l.1) {
+            // Held back, it arrives when the cut ends, whoever still waits for it.
+            let (path, body, target) = (path.to_owned(), body.to_vec(), Target::State);
+            let step = Step::Arrive {
+                node,
+                life,
+                call,
+                target,
+                method,
+                path,
+                body,
+            };
+            return self.at(until, step);
         }
         if self
             .state_out
@@ -758,7 +823,7 @@
                 self.note(format!("the answer to a transaction on {key} is late"));
                 ms
             }
-            _ => STATE_MS,
+            _ => STATE_MS + self.state_lag(),
         };
         match answer {
             Some(a) => self.answer(node, life, call, lag, a),
@@ -790,7 +855,8 @@
             if changes.events.is_empty() && self.now < until || out {
                 self.watches.push((node, life, call, prefix, since, until));
             } else {
-                self.answer(node, life, call, STATE_MS, (200, encode(&changes)));
+                let lag = STATE_MS + self.state_lag();
+                self.answer(node, life, call, lag, (200, encode(&changes)));
             }
         }
     }
@@ -848,7 +914,8 @@
             .get(id)
             .map_or(String::new(), |w| w.zone.clone());
         let to = self.workers.get(id).map_or(0, |w| w.node);
-        let cut = self.cut.get(id).is_some_and(|until| now < *until) || self.apart(to, &zone);
+        let silent = |m: &BTreeMap<String, Ms>| m.get(id).is_some_and(|until| now < *until);
+        let cut = silent(&self.cut) || silent(&self.mute) || self.apart(to, &zone);
         let Some(w) = self.workers.get_mut(id) else {
             return;
         };
@@ -872,6 +939,7 @@
         for (task, attempt) in started {
             self.started(id, &task, attempt);
         }
+        let mut last = vec![];
         let w = self.workers.get_mut(id).expect("seen");
         for (task, t) in &mut w.tasks {
             if t.state == TaskState::Running && now >= t.until {
@@ -880,10 +948,16 @@
                 w.changed = true;
                 let (job, index) = task.split_once('/').expect("task name");
                 if let (Some(j), Ok(n)) = (self.jobs.get_mut(job), index.parse()) {
-                    j.finished.insert(n);
+                    let ended = j.finished.insert(n) && j.finished.len() == j.spec.tasks as usize;
+                    let lag = j.cancel_at_end.filter(|_| ended);
+                    last.extend(lag.map(|lag| (job.to_owned(), lag)));
                 }
             }
         }
+        for (job, lag) in last {
+            let line = ["cancel-now", &job, "any"];
+            self.later(lag, line.map(str::to_owned).to_vec());
+        }
         let w = self.workers.get_mut(id).expect("seen");
         if let Some((ask, sent)) = w.flying {
             if now >= sent + WORKER_PATIENCE_MS {
@@ -908,7 +982,8 @@
                 self.asks.insert(ask, Asker::Worker(id.into()));
                 self.ask(ask, node, "POST", "/agent/beat", encode(&report));
             }
-            if let Some(lag) = self.copy_reports.get(id).copied() {
+            let lag = self.copy_reports.get(id).copied();
+            if let Some(lag) = lag.or_else(|| self.late_report()) {
                 self.next_ask += 1;
                 let (ask, node) = (self.next_ask, (node + 1) % self.nodes.len());
                 self.asks.insert(ask, Asker::Probe);
@@ -937,6 +1012,14 @@
         self.worker_due(id, next.max(now + 1));
     }
 
+    /// How much later a copy of this report arrives, if it is one of those.
+    fn late_report(&mut self) -> Option<Ms> {
+        let (every, from, to, _) = self.late_reports.filter(|l| self.now < l.3)?;
+        self.reports_seen += 1;
+        let copied = self.reports_seen % every == 0;
+        copied.then(|| spaced(self.reports_seen / every, from, to))
+    }
+
     /// The worker looks at itself at the next step of its own from then on, if not before.
     fn worker_due(&mut self, id: &str, when: Ms) {
         let now = self.now;
@@ -1189,6 +1272,7 @@
             ended: None,
             cancel_asked: false,
             cancelled_at: None,
+            cancel_at_end: None,
             finished: BTreeSet::new(),
             asking: None,
             status: 0,
@@ -1216,15 +1300,21 @@
         if (400..500).contains(&j.status) && j.status != 429 && !j.accepted {
             return;
         }
+        if let Some(node) = self.any_node() {
+            self.user_asks(id, node);
+        }
+    }
+
+    /// Where the load balancer sends the next question.
+    pub fn any_node(&mut self) -> Option<usize> {
         let alive: Vec<usize> = (0..self.nodes.len())
             .filter(|i| self.nodes[*i].is_some())
             .collect();
         if alive.is_empty() {
-            return;
+            return None;
         }
         self.turn += 1;
-        let node = alive[(self.turn + self.turn / alive.len()) % alive.len()];
-        self.user_asks(id, node);
+        Some(alive[(self.turn + self.turn / alive.len()) % alive.len()])
     }
 
     /// The user asks to cancel in this moment, at that node first.
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -1,5 +1,5 @@
 //! Reads and plays the scenarios in `traces/`: one line an event, `#` comments. Where a line takes
-//! a MACHINE to `cut`, make `deaf`, `hang` or `die`, it also takes several: `host-000010..000019`.
+//! a MACHINE to `cut`, make `deaf` or `mute`, `hang` or `die`, it also takes several: `host-000010..000019`.
 //! A node is its number, `leader`, or `follower` and `other`: the first and the last that don't lead.
 //!
 //! | line | meaning |
@@ -14,6 +14,7 @@
 //! | `T submit JOB KIND N [key value]...` | keys: cpus, run, due, team, zone, priority, image |
 //! | `T cancel JOB` | its user asks to cancel |
 //! | `T cancel-now JOB N` | likewise, in this very moment and at that node |
+//! | `T cancel-at-end JOB [LAG]` | its user cancels in the moment its last task ends, or so much later |
 //! | `T crash leader\|all\|N [BACK]` | the process ends, back after so many seconds (4) |
 //! | `T trap crash-before\|crash-after KEY [BACK]` | the process ends before or after the next transaction on such a key |
 //! | `T trap lose-answer KEY` | its answer is lost |
@@ -26,6 +27,11 @@
 //! | `T cut-zone ZONE NODE S` | the zone's machines and that node reach nobody else but the state service |
 //! | `T lone N S` | the node reaches neither the state service nor other nodes, but its workers |
 //! | `T cut-peers A B S` | the links between two nodes are down |
+//! | `T hold-frames A B S` | what they send each other arrives only afterwards, in order |
+//! | `T mute MACHINE S` | its reports reach no node, though commands reach it |
+//! | `T slow-state S LAG` | for that time the state service's answers take so much longer |
+//! | `T late-writes SHARE S` | for that time such a share of transactions gets no answer and is carried out 2 to 12 s later |
+//! | `T late-reports SHARE FROM TO S` | for that time such a share of reports arrives once more, so much later, elsewhere |
 //! | `T deaf MACHINE S` | its reports arrive, answers don't; commands arrive afterwards |
 //! | `T copy-reports MACHINE LAG` | from now on its reports arrive once more so much later, elsewhere |
 //! | `T copy-do MACHINE LAG` | direct commands to it are carried out once more so much later |
@@ -92,8 +98,9 @@
     sim
 }
 
-fn targets(sim: &Sim, who: &str) -> Vec<usize> {
-    let follows = |n: &usize| sim.leader() != Some(*n);
+fn targets(sim: &mut Sim, who: &str) -> Vec<usize> {
+    let leader = sim.leader();
+    let follows = |n: &usize| leader != Some(*n);
     match who {
         "leader" => sim.leader().into_iter().collect(),
         "all" => (0..sim.nodes.len()).collect(),
@@ -104,6 +111,7 @@
             .find(follows)
             .into_iter()
             .collect(),
+        "any" => sim.any_node().into_iter().collect(),
         n => vec![n.parse().expect("node")],
     }
 }
@@ -187,6 +195,31 @@
                 sim.cancel_now(word(1), n);
             }
         }
+        "cancel-at-end" => {
+            let lag = if word(2).is_empty() { 0 } else { ms(word(2)) };
+            if let Some(j) = sim.jobs.get_mut(word(1)) {
+                j.cancel_at_end = Some(lag);
+            }
+        }
+        "late-writes" => {
+            let every = (1.0 / word(1).parse::<f64>().expect("share")).round() as u64;
+            sim.late_writes = Some((every, sim.now + ms(word(2))));
+        }
+        "late-reports" => {
+            let every = (1.0 / word(1).parse::<f64>().expect("share")).round() as u64;
+            let until = sim.now + ms(word(4));
+            sim.late_reports = Some((every, ms(word(2)), ms(word(3)), until));
+        }
+        "slow-state" => sim.slow_state = Some((ms(word(2)), sim.now + ms(word(1)))),
+        "mute" => {
+            let until = sim.now + ms(word(2));
+            sim.mute.extend(machines(word(1)).map(|m| (m, until)));
+        }
+        "hold-frames" => {
+            let (a, b) = (targets(sim, word(1))[0], targets(sim, word(2))[0]);
+            let until = sim.now + ms(word(3));
+            sim.hold_frames.insert((a.min(b), a.max(b)), until);
+        }
         "cut-peers" => {
             let (a, b) = (targets(sim, word(1)), targets(sim, word(2)));
             sim.cut_peers(a[0], b[0], ms(word(3)));
