Leases are renewed only while every confirmed cancellation is covered

Cause (the gap): the leader renewed leases as long as it heard any peer, but a peer's hello said nothing of what that peer had confirmed to users. Refused by the state service alone, then with it out for all, the leader kept tasks alive that another controller had told a user were cancelled.

One notion, coverage (node/coverage.rs): up to when a node surely knows every confirmed cancellation. A read of all changes moves it to its sending; all other nodes' answers together move it too, each from the life that answers. Every path that renews (leader, cut zone, lone node) and every start asks covered(). A node hands a cancellation to its peers before it tells a user; an answer over a link follows all that the asker's revision lacks. A leader that is still loading ends what it knows to be cancelled.

Ruled out: bounding the leader by its own reads alone kills all tasks in each outage of some 22 s. Frames between controllers changed: their version is 2.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -172,10 +172,9 @@
 pub const DEAF_PAUSE_MS: u64 = 15_000;
 /// ms before a node resigns again: if the others hear no more, somebody must act.
 pub const RESIGN_AGAIN_MS: u64 = 180_000;
-/// Part of the time between a worker's lease and the limit for cancellations for which a node
-/// without the leader, or the leader without the state service, keeps leases alive alone: a
-/// cancel told elsewhere must still be in time when it stops.
-pub const ALONE_PART: f64 = 0.9;
+/// Part of the time between a worker's lease and the limit for cancellations for which leases are
+/// renewed past a node's coverage. The tenth left is for the drift of clocks and a worker's step.
+pub const UNCOVERED_PART: f64 = 0.9;
 /// ms without the state service and any other node after which a node holds no workers any more:
 /// longer than the leader key's life and the pings, so that a moment's loss is none, and early
 /// enough that a worker, which needs some 10 s to find another node, does so within its lease.
--- a/crates/control/src/leader/command.rs
+++ b/crates/control/src/leader/command.rs
@@ -36,6 +36,7 @@
                     } else if p.stop.is_none()
                         && !p.inherited
                         && wanted
+                        && ctx.covered
                         && (p.phase == Phase::Ready || beat)
                     {
                         p.set_phase(Phase::Sent);
@@ -86,7 +87,7 @@
                     && !m.far
                     && !m.deaf()
                     && m.placements.iter().any(|p| match p.phase {
-                        Phase::Ready => p.stop.is_none(),
+                        Phase::Ready => p.stop.is_none() && ctx.covered,
                         Phase::Fetching | Phase::Running => {
                             p.stop.is_some() && now >= p.stop_sent + k::STOP_REPEAT_MS
                         }
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -2,15 +2,29 @@
 use super::*;
 
 impl Leader {
-    /// A worker's report; the answer renews its lease. `None`: we do not lead any more.
+    /// A worker's report; the answer renews its lease. `None`: we do not lead any more, or may
+    /// not renew it.
     pub fn beat(&mut self, ctx: &mut Ctx, report: Report) -> Option<Orders> {
         if report.token > self.term || self.deposed {
             self.deposed = true;
             return None;
         }
         self.now_ms = ctx.now.ms;
+        if !ctx.covered {
+            // The machine lives, but nothing that we say reaches it by this way.
+            if self.stage != Stage::Loading {
+                let id = report.machine.clone();
+                if self.hear(ctx, report, false) {
+                    self.take_exits(ctx, &id);
+                }
+            }
+            return None;
+        }
         let mut commands = vec![];
-        if self.stage != Stage::Loading {
+        if self.stage == Stage::Loading {
+            // Loading waits for the state service; what is cancelled does not.
+            commands = ctx.replica.stops(&report);
+        } else {
             let id = report.machine.clone();
             let newer = self.hear(ctx, report, true);
             if newer {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -35,6 +35,9 @@
     pub set: &'a Settings,
     /// No other node is heard, so another may hear the machines that we don't.
     pub may_resign: bool,
+    /// What may have been cancelled without our knowledge still ends in time: leases may be
+    /// renewed and tasks started.
+    pub covered: bool,
     pub replica: &'a mut Replica,
     pub reads: &'a mut Bucket,
     pub writes: &'a mut Bucket,
@@ -178,6 +181,7 @@
     /// Until when zones are taken as cut off, and most machines' silence as our own trouble.
     cut_until: BTreeMap<String, Ms>,
     many_until: Ms,
+    many_deaf_until: Ms,
     /// `d/` records of jobs that have ended.
     drops: Vec<(String, Stored)>,
     /// `d/` records of jobs that our copy does not show yet.
@@ -233,6 +237,7 @@
             summary_at: 0,
             cut_until: BTreeMap::new(),
             many_until: 0,
+            many_deaf_until: 0,
             drops: vec![],
             early: vec![],
             rereading: false,
--- a/crates/control/src/leader/silence.rs
+++ b/crates/control/src/leader/silence.rs
@@ -43,8 +43,11 @@
             self.many_until = later;
         }
         let many = now < self.many_until;
-        // The same holds when many don't hear us.
-        let many_deaf = total.deaf > k::SILENT_FEW && part(total.deaf, k::SILENT_PART);
+        // The same holds when many don't hear us, until the last may hear again.
+        if settled && total.deaf > k::SILENT_FEW && part(total.deaf, k::SILENT_PART) {
+            self.many_deaf_until = later;
+        }
+        let many_deaf = now < self.many_deaf_until;
         if settled && total.all > 1 && ctx.may_resign {
             let last = self.machines.values().filter_map(|m| m.heard).max();
             if last.is_some_and(|at| now > at.max(self.since) + k::DEAF_MS) {
--- a/crates/control/src/node/elect.rs
+++ b/crates/control/src/node/elect.rs
@@ -200,6 +200,8 @@
         *after = page.items.last().map(|e| e.key.clone()).or(after.take());
         let leader_listed = page.items.iter().any(|e| e.key == LEADER);
         self.replica.list_page(page.items);
+        // Old ones: who lacks some of them gets them with our next answer.
+        self.replica.news.clear();
         if !page.more {
             if !leader_listed {
                 self.replica.no_leader_at(page.revision);
@@ -220,6 +222,7 @@
             Ok((200, body)) => match decode::<Changes<Common>>(&body) {
                 Ok(c) => {
                     self.replica.apply(c);
+                    self.tell_cancelled();
                     Some(true)
                 }
                 Err(e) => {
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -11,14 +11,14 @@
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use stonegw_constants as k;
-use stonegw_wire::frame::{self, Counts, Frame, Hello};
+use stonegw_wire::frame::{self, Cancelled, Counts, Frame, Hello};
 use stonegw_wire::http::Request;
 use stonegw_wire::msg::{
-    decode, encode, json_len, Catalog, Changes, Command, Condition, ErrorBody, JobKind, JobPhase,
-    JobSpec, JobStatus, LeaseAnswer, LeaseRequest, Listing, Orders, Report, ReportTo, TaskState,
-    Txn, TxnAnswer, Write,
+    decode, encode, json_len, Catalog, Changes, Condition, ErrorBody, JobKind, JobPhase, JobSpec,
+    JobStatus, LeaseAnswer, LeaseRequest, Listing, Orders, Report, ReportTo, Txn, TxnAnswer, Write,
 };
 
+mod coverage;
 mod elect;
 mod relay;
 mod users;
@@ -62,7 +62,7 @@
 enum Call {
     List,
     Watch,
-    Barrier { polls: Vec<Pending> },
+    Barrier { polls: Vec<Pending>, sent: Ms },
     Store { batch: Vec<Pending> },
     Far,
     Grant,
@@ -175,6 +175,7 @@
     state_ok_at: Ms,
     state_failed_at: Option<Ms>,
     peers: Vec<Peer>,
+    coverage: coverage::Coverage,
     hello_at: Ms,
     /// Reports on their way to the leader: who waits, until when, and the report.
     relays: HashMap<u64, (u64, Ms, Report)>,
@@ -211,7 +212,8 @@
     pub fn new(set: Settings, seed: u64) -> Node {
         let mut rng = SmallRng::seed_from_u64(seed);
         let nonce = rng.random::<u64>() >> 12;
-        let peers = set.peers.iter().map(|_| Peer::default()).collect();
+        let peers: Vec<Peer> = set.peers.iter().map(|_| Peer::default()).collect();
+        let coverage = coverage::Coverage::new(peers.len());
         let mut node = Node {
             nonce,
             rng,
@@ -246,6 +248,7 @@
             state_ok_at: 0,
             state_failed_at: None,
             peers,
+            coverage,
             hello_at: 0,
             relays: HashMap::new(),
             next_relay: 0,
@@ -310,7 +313,7 @@
                 self.peers[i].up = true;
                 self.peers[i].heard = now.ms;
                 self.peers[i].counted = false;
-                self.hello(Link::Out(i));
+                self.hello(Link::Out(i), now.ms);
             }
             Event::LinkDown(Link::Out(i)) => self.peers[i].up = false,
             Event::LinkUp(Link::In(_)) | Event::LinkDown(Link::In(_)) => {}
@@ -342,7 +345,7 @@
             self.seen.retain(|_, at| now < *at + old);
             for i in 0..self.peers.len() {
                 if self.peers[i].up {
-                    self.hello(Link::Out(i));
+                    self.hello(Link::Out(i), now);
                 }
             }
             self.send_counts();
@@ -379,6 +382,7 @@
                 .is_none_or(|at| self.now.ms > at + k::RESIGN_AGAIN_MS);
         let mut ctx = crate::leader::Ctx {
             may_resign,
+            covered: self.covered(),
             now: self.now,
             set: &self.set,
             replica: &mut self.replica,
@@ -458,10 +462,11 @@
                     None => self.watch_at = now + k::STATE_RETRY_MS,
                 }
             }
-            Call::Barrier { polls } => {
+            Call::Barrier { polls, sent } => {
                 self.barriers -= 1;
                 match self.changes(result) {
                     Some(true) => {
+                        self.coverage.read(sent);
                         for p in polls {
                             self.answer(p);
                         }
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -21,7 +21,7 @@
                 Some(orders) => self.out.reply(id, 200, None, &orders),
                 None => self
                     .out
-                    .error(id, 503, Some(k::RETRY_STATE_S), "no longer leading"),
+                    .error(id, 503, Some(k::RETRY_STATE_S), "no lease to give"),
             };
         }
         self.higher_term = self.higher_term.max(report.token);
@@ -57,16 +57,48 @@
         }
     }
 
-    /// How long leases may be kept alive without word from the state service.
-    pub(super) fn alone_ms(&self) -> u64 {
-        ((self.set.cancel_s - self.set.lease_s).max(0.0) * k::ALONE_PART * 1e3) as u64
+    /// How long our coverage lies back.
+    pub(super) fn uncovered_ms(&self) -> Ms {
+        let upto = self.coverage.upto(self.now.ms);
+        upto.map_or(Ms::MAX, |at| self.now.ms.saturating_sub(at))
+    }
+
+    /// Whether a lease may be renewed: what was cancelled past our coverage still ends in time
+    /// if this renewal is the last.
+    pub(super) fn covered(&self) -> bool {
+        let spare_s = (self.set.cancel_s - self.set.lease_s).max(0.0);
+        self.uncovered_ms() <= (spare_s * k::UNCOVERED_PART * 1e3) as Ms
+    }
+
+    /// Hands cancellations that are new to us to all other nodes that can be reached.
+    pub(super) fn tell_cancelled(&mut self) {
+        let news = std::mem::take(&mut self.replica.news);
+        for i in 0..self.peers.len() {
+            if self.peers[i].up {
+                self.send_cancelled(Link::Out(i), news.iter());
+            }
+        }
+    }
+
+    fn send_cancelled<'a>(&mut self, to: Link, list: impl Iterator<Item = &'a (u64, String)>) {
+        let list: Vec<Cancelled> = list
+            .map(|(stamp, job)| Cancelled {
+                job: frame::name(job),
+                stamp: (*stamp).into(),
+            })
+            .collect();
+        for part in list.chunks(frame::MAX_FRAME / size_of::<Cancelled>()) {
+            self.out.actions.push(Action::Send {
+                to,
+                frame: Frame::Cancelled(part.to_vec()),
+            });
+        }
     }
 
     /// A report that can't be relayed, from a worker that may be cut off with us. Its lease is
     /// kept alive with the leader's token, what is cancelled is ended, and the report goes on
     /// through the state service.
     pub(super) fn far_beat(&mut self, id: u64, report: Report, leader: String) {
-        let now = self.now.ms;
         if self.try_leader(&report.machine) {
             let node = Some(leader);
             return self.out.reply(id, 421, None, &ReportTo { node });
@@ -74,7 +106,7 @@
         // Only while our copy of the jobs and of the term is fresh enough to end in time what
         // is cancelled elsewhere.
         let term = self.replica.term().unwrap_or(0);
-        if now > self.state_ok_at + self.alone_ms() || report.token > term {
+        if !self.covered() || report.token > term {
             return self.cut_off(id);
         }
         self.keep_lease(id, &report, term);
@@ -108,9 +140,8 @@
             Some(l) => l.term,
             None => self.replica.term().unwrap_or(0),
         };
-        let fresh = now <= self.state_ok_at + self.alone_ms();
         self.higher_term = self.higher_term.max(report.token);
-        if self.shut_in && fresh && term > 0 && self.higher_term <= term {
+        if self.shut_in && self.covered() && term > 0 && self.higher_term <= term {
             return self.keep_lease(id, &report, term);
         }
         self.let_go.entry(report.machine).or_insert(now);
@@ -120,24 +151,10 @@
     /// Answers without the leader: the token renews the lease, what is cancelled is ended, and
     /// nothing is started.
     fn keep_lease(&mut self, id: u64, report: &Report, term: u64) {
-        let cancelled = |task: &str| {
-            let job = records::parse_task(task).map_or("", |t| t.0);
-            self.replica.end_of(job) == Some(End::Cancelled)
-        };
-        let commands = report
-            .tasks
-            .iter()
-            .filter(|t| t.state != TaskState::Exited && cancelled(&t.task))
-            .map(|t| Command::Stop {
-                task: t.task.clone(),
-                attempt: t.attempt,
-                grace_s: 0.0,
-            })
-            .collect();
         let orders = Orders {
             token: term,
             session: None,
-            commands,
+            commands: self.replica.stops(report),
         };
         self.out.reply(id, 200, None, &orders);
     }
@@ -261,9 +278,13 @@
         orders
     }
 
-    pub(super) fn hello(&mut self, to: Link) {
+    /// `asked`: our time when we ask, the other's when we answer.
+    pub(super) fn hello(&mut self, to: Link, asked: Ms) {
         let hello = Hello {
             term: self.replica.highest_term.max(self.higher_term).into(),
+            nonce: self.nonce.into(),
+            asked: asked.into(),
+            revision: self.replica.revision.into(),
             leads: u8::from(self.role == Role::Leading),
             state_ok: u8::from(self.sync == Sync::Live && self.state_failed_at.is_none()),
             name: frame::name(&self.set.node),
@@ -305,13 +326,21 @@
                 let name = frame::text(&h.name).to_owned();
                 match from {
                     Link::Out(i) => {
-                        self.peers[i].heard = self.now.ms;
+                        let now = self.now.ms;
+                        self.peers[i].heard = now;
                         self.peers[i].state_ok = h.state_ok != 0;
+                        let (life, asked) = (h.nonce.get(), h.asked.get());
+                        self.coverage.attested(i, life, asked, now);
                     }
                     // Every hello is answered, so that both ends of a link hear the other.
                     Link::In(_) => {
                         if self.set.peers.contains(&name) {
-                            self.hello(from);
+                            // What it lacks goes before the answer, over the same link.
+                            let since = h.revision.get();
+                            let lacks: Vec<_> =
+                                self.replica.cancelled_since(since).cloned().collect();
+                            self.send_cancelled(from, lacks.iter());
+                            self.hello(from, h.asked.get());
                         } else {
                             log::warn!("a stranger says hello: {name:?}");
                         }
@@ -349,6 +378,13 @@
                     });
                 }
             }
+            Frame::Cancelled(list) => {
+                for c in list {
+                    let job = frame::text(&c.job);
+                    self.replica.told_cancelled(job, c.stamp.get());
+                }
+                self.tell_cancelled();
+            }
             Frame::Counts(list) => {
                 for c in list {
                     let job = frame::text(&c.job).to_owned();
--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -166,7 +166,10 @@
         // may hang, and requests are refused meanwhile. The leader also must not miss a cancel
         // because its watch hangs.
         let probe = self.state_failed_at.is_some() && now >= self.barrier_at + k::STATE_PROBE_MS
-            || self.role == Role::Leading && now >= self.barrier_at + k::LEADER_SYNC_MS;
+            || self.role == Role::Leading && now >= self.barrier_at + k::LEADER_SYNC_MS
+            // The other nodes' answers don't carry the coverage on.
+            || self.uncovered_ms() > k::LEADER_SYNC_MS
+                && now >= self.barrier_at + k::LEADER_SYNC_MS;
         if (!self.waiting.is_empty() || probe)
             && self.sync == Sync::Live
             && self.barriers < 2
@@ -188,7 +191,7 @@
             );
             let wait = patience.min(k::STATE_TIMEOUT_MS);
             let call = self.out.call(Target::State, "GET", path, vec![], wait);
-            self.calls.insert(call, Call::Barrier { polls });
+            self.calls.insert(call, Call::Barrier { polls, sent: now });
         }
     }
 
@@ -278,6 +281,8 @@
                                 let record = j.record.cancelled();
                                 self.replica.put_job(job, record, answer.revision);
                             }
+                            // Whoever serves the workers learns it before the user does.
+                            self.tell_cancelled();
                             let body = status(job, JobPhase::Cancelled);
                             self.out.reply(p.id, 200, None, &body);
                         }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,7 +1,7 @@
 //! Every node's copy of what stands under `c/`: the jobs and who leads.
-use crate::records::{Common, End, JobRecord, LeaderRecord, JOBS, LEADER};
-use std::collections::HashMap;
-use stonegw_wire::msg::{Change, Changes, Entry, Report};
+use crate::records::{parse_task, Common, End, JobRecord, LeaderRecord, JOBS, LEADER};
+use std::collections::{BTreeSet, HashMap};
+use stonegw_wire::msg::{Change, Changes, Command, Entry, Report, TaskState};
 
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -22,6 +22,12 @@
     pub changed: Vec<String>,
     /// Reports handed on by nodes that can't reach the leader.
     pub far: Vec<Report>,
+    /// All cancellations known, by the stamp under which each is stored.
+    cancelled: BTreeSet<(u64, String)>,
+    /// Those that were not handed to the other nodes yet.
+    pub news: Vec<(u64, String)>,
+    /// Cancellations of jobs that we have not read yet, with their stamps.
+    told: HashMap<String, u64>,
 }
 
 impl Replica {
@@ -48,7 +54,10 @@
         }
     }
 
-    pub fn put_job(&mut self, id: &str, record: JobRecord, version: u64) {
+    pub fn put_job(&mut self, id: &str, mut record: JobRecord, mut version: u64) {
+        if let Some(stamp) = self.told.remove(id).filter(|stamp| *stamp > version) {
+            (record, version) = (record.cancelled(), stamp);
+        }
         let known = self.jobs.get(id);
         if known.is_some_and(|j| j.version >= version) {
             return;
@@ -60,10 +69,55 @@
                 return;
             }
         }
+        let before = known.is_some_and(|j| j.record.end.is_some());
+        if record.end == Some(End::Cancelled) && !before {
+            self.cancelled.insert((version, id.to_owned()));
+            self.news.push((version, id.to_owned()));
+        }
         self.jobs.insert(id.to_owned(), Job { record, version });
         self.changed.push(id.to_owned());
     }
 
+    /// Another node knows of a stored cancellation.
+    pub fn told_cancelled(&mut self, id: &str, stamp: u64) {
+        match self.jobs.get(id) {
+            Some(j) if j.record.end.is_some() => {}
+            Some(j) => {
+                let record = j.record.cancelled();
+                self.put_job(id, record, stamp);
+            }
+            // Its submission was stored after our last read. Others may ask us of the cancellation
+            // before we have read it.
+            None => {
+                if self.told.insert(id.to_owned(), stamp).is_none() {
+                    self.cancelled.insert((stamp, id.to_owned()));
+                    self.news.push((stamp, id.to_owned()));
+                }
+            }
+        }
+    }
+
+    /// Cancellations known that a reader of everything up to a revision may not know.
+    pub fn cancelled_since(&self, revision: u64) -> impl Iterator<Item = &(u64, String)> {
+        self.cancelled.range((revision + 1, String::new())..)
+    }
+
+    /// What ends the cancelled tasks in a report.
+    pub fn stops(&self, report: &Report) -> Vec<Command> {
+        let cancelled = |task: &str| {
+            let job = parse_task(task).map_or("", |t| t.0);
+            self.end_of(job) == Some(End::Cancelled) || self.told.contains_key(job)
+        };
+        let live = report.tasks.iter().filter(|t| t.state != TaskState::Exited);
+        live.filter(|t| cancelled(&t.task))
+            .map(|t| Command::Stop {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+            .collect()
+    }
+
     fn delete(&mut self, key: &str, version: u64) {
         if key == LEADER && version > self.leader_version {
             self.leader_version = version;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -4,7 +4,7 @@
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
 pub const MAGIC: u32 = 0x5747_5453;
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// Bytes after the header at most: a report or its answer and some.
 pub const MAX_FRAME: usize = 96 * 1024;
 
@@ -19,18 +19,37 @@
 
 pub const HEADER: usize = size_of::<Header>();
 
-/// Sent on connecting and every second: who speaks, the highest term known, how it is.
+/// Sent on connecting and every second: who speaks, the highest term known, how it is. Each is
+/// answered over the same link by another, after all that `revision` shows to be missing: so an
+/// answer tells that its sender knew of no other cancellation at the time `asked`.
 #[derive(
     FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq,
 )]
 #[repr(C)]
 pub struct Hello {
     pub term: U64,
+    /// Tells this process from earlier ones of the same name.
+    pub nonce: U64,
+    /// The asker's steady clock, ms; an answer gives it back. 0 where nothing is asked.
+    pub asked: U64,
+    /// The revision up to which the speaker has all changes of the jobs.
+    pub revision: U64,
     pub leads: u8,
     pub state_ok: u8,
     pub name: [u8; 30],
 }
 
+/// A stored cancellation; a frame carries any number of these.
+#[derive(
+    FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq,
+)]
+#[repr(C)]
+pub struct Cancelled {
+    pub job: [u8; 24],
+    /// The stamp under which it is stored.
+    pub stamp: U64,
+}
+
 /// Head of a relayed report or its answer; the message body follows.
 #[derive(
     FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug, PartialEq,
@@ -65,6 +84,7 @@
         body: Vec<u8>,
     },
     Counts(Vec<Counts>),
+    Cancelled(Vec<Cancelled>),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,6 +99,7 @@
 const REPORT: u16 = 2;
 const ANSWER: u16 = 3;
 const COUNTS: u16 = 4;
+const CANCELLED: u16 = 5;
 
 pub fn name<const N: usize>(text: &str) -> [u8; N] {
     let mut out = [0; N];
@@ -127,6 +148,10 @@
                 out.extend_from_slice(list.as_bytes());
                 COUNTS
             }
+            Frame::Cancelled(list) => {
+                out.extend_from_slice(list.as_bytes());
+                CANCELLED
+            }
         };
         let head = Header {
             magic: MAGIC.into(),
@@ -152,7 +177,7 @@
         if len > MAX_FRAME {
             return Err(FrameError::Length);
         }
-        if !(HELLO..=COUNTS).contains(&head.kind.get()) {
+        if !(HELLO..=CANCELLED).contains(&head.kind.get()) {
             return Err(FrameError::Kind);
         }
         if rest.len() < len {
@@ -165,6 +190,10 @@
                 let list = <[Counts]>::ref_from_bytes(body).map_err(|_| FrameError::Length)?;
                 Frame::Counts(list.to_vec())
             }
+            CANCELLED => {
+                let list = <[Cancelled]>::ref_from_bytes(body).map_err(|_| FrameError::Length)?;
+                Frame::Cancelled(list.to_vec())
+            }
             kind => {
                 let (r, body) = Relay::ref_from_prefix(body).map_err(|_| FrameError::Length)?;
                 let (request, body) = (r.request.get(), body.to_vec());
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -6,9 +6,16 @@
         done: 3.into(),
         running: 4.into(),
     };
+    let cancelled = Cancelled {
+        job: name("run-12345678901234567890"),
+        stamp: 8.into(),
+    };
     vec![
         Frame::Hello(Hello {
             term: 7.into(),
+            nonce: 5.into(),
+            asked: 1_000.into(),
+            revision: 6.into(),
             leads: 1,
             state_ok: 0,
             name: name("hearth-1"),
@@ -23,6 +30,7 @@
             body: vec![],
         },
         Frame::Counts(vec![counts, counts]),
+        Frame::Cancelled(vec![cancelled]),
     ]
 }
 
