--- a/crates/testkit/src/outside.rs
+++ b/crates/testkit/src/outside.rs
@@ -258,7 +258,6 @@
     pub kind: String,
     pub zone: String,
     pub spot: bool,
-    pub cpus: f64,
     pub session: u64,
     pub seq: u64,
     pub token: u64,
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -8,7 +8,6 @@
 use stonegw_wire::msg::*;
 
 const STATE_MS: Ms = 5;
-const WIRE_MS: Ms = 1;
 const CLOUD_MS: Ms = 80;
 const REPORT_MS: Ms = 3_000;
 pub const LEASE_MS: Ms = 24_000;
@@ -19,6 +18,15 @@
 /// A worker looks at itself each time this has passed since it was up.
 const WORKER_STEP_MS: Ms = 100;
 const CHECK_MS: Ms = 100;
+/// After the troubles no task waits longer beside room for it (the operators' page).
+const WAIT_MS: Ms = 90_000;
+const ROOM_CHECK_MS: Ms = 1_000;
+/// By the protocol no task may start once its job is called cancelled. A leader that the state
+/// service refuses alone may not know it yet: its own lease lasts 4 s from the last touch, and a
+/// call 1.5 s. Later than that no start may be given, wherever the cancellation was told.
+const START_MS: Ms = 6_000;
+const MACHINE_CPUS: f64 = 4.0;
+const MACHINE_GB: f64 = 16.0;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -118,6 +126,31 @@
     pub answered: Ms,
     /// When its first task started.
     pub begun: Option<Ms>,
+    /// When its user was told that it has ended.
+    ended_at: Option<Ms>,
+    /// Since when tasks of it wait, none starts and one could.
+    waits_since: Option<Ms>,
+}
+
+impl Job {
+    fn open(&self) -> bool {
+        self.accepted && self.ended.is_none() && !self.cancel_asked
+    }
+}
+
+/// What an odd request must be answered with, unless the node says that it can't now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Odd {
+    /// A submission of an accepted job once more: its present state.
+    Repeat,
+    /// The cancel of a job that is done, and was told so: done.
+    CancelDone,
+    /// It can never run: 422.
+    Impossible,
+    /// Malformed: 400, whatever else goes on.
+    Malformed,
+    /// Nobody submitted it: 404.
+    Unknown,
 }
 
 enum Asker {
@@ -126,6 +159,25 @@
     Poll(String),
     Cancel(String),
     Probe,
+    /// What kind of odd request, about which job, and when it was asked.
+    Odd(Odd, String, Ms),
+}
+
+fn job_of(task: &str) -> &str {
+    task.split('/').next().unwrap_or("")
+}
+
+/// How many tasks of a job that is spread may be in one zone.
+fn half(spec: &JobSpec) -> u32 {
+    spec.tasks.div_ceil(2)
+}
+
+/// Whether a job may run on such a machine, its other tasks aside.
+fn allowed(spec: &JobSpec, kind: &str, zone: &str, spot: bool) -> bool {
+    let types = spec.types.as_ref();
+    types.is_none_or(|l| l.iter().any(|t| t == kind))
+        && spec.zone.as_ref().is_none_or(|z| z == zone)
+        && (spec.spot || !spot)
 }
 
 /// Values from one bound to the other that differ much from one to the next, always the same.
@@ -175,6 +227,7 @@
     pub mute: BTreeMap<String, Ms>,
     /// Until when answers and commands don't reach a machine, though its reports arrive.
     pub deaf: BTreeMap<String, Ms>,
+    any_cancelled: bool,
     /// Machines that stopped by themselves.
     dead: BTreeSet<String>,
     /// What each team's tasks take at most, in CPUs.
@@ -189,6 +242,7 @@
     pub kept: std::collections::VecDeque<Vec<u8>>,
     /// Only direct commands to it are held back so long.
     pub hold_do: BTreeMap<String, Ms>,
+    pub wire_ms: Ms,
     pub broken: Vec<String>,
     pub log: Vec<String>,
     script: Vec<(Ms, Vec<String>)>,
@@ -233,9 +287,9 @@
             .collect();
         let kind = |name: &str, zone: &str, price: f64| MachineType {
             name: name.into(),
-            cpus: 4.0,
+            cpus: MACHINE_CPUS,
             gpus: 0.0,
-            memory_gb: 16.0,
+            memory_gb: MACHINE_GB,
             cache_gb: 50.0,
             fetch_gb_per_s: 1.0,
             price,
@@ -283,11 +337,13 @@
             reports_seen: 0,
             mute: BTreeMap::new(),
             deaf: BTreeMap::new(),
+            any_cancelled: false,
             dead: BTreeSet::new(),
             team_bound: BTreeMap::new(),
             copy_reports: BTreeMap::new(),
             copy_do: BTreeMap::new(),
             calm: None,
+            wire_ms: 1,
             broken: vec![],
             log: vec![],
             script: vec![],
@@ -340,6 +396,13 @@
         self.dead.insert(id.to_owned());
     }
 
+    /// The cloud also has spot machines of every type, at a third of the price.
+    pub fn spot_machines(&mut self) {
+        for t in &mut self.cloud.catalog.types {
+            t.spot_price = Some(t.price / 3.0);
+        }
+    }
+
     pub fn value_bytes(&mut self, bytes: usize) {
         for s in &mut self.settings {
             s.value_bytes = bytes;
@@ -505,8 +568,11 @@
             Action::Reply {
                 id, status, body, ..
             } => {
+                if status == 200 && matches!(self.asks.get(&id), Some(Asker::Worker(_))) {
+                    self.given(node, &body);
+                }
                 self.at(
-                    self.now + WIRE_MS,
+                    self.now + self.wire_ms,
                     Step::Reply {
                         ask: id,
                         status,
@@ -537,7 +603,7 @@
                 let pair = (node.min(other), node.max(other));
                 let held = self.hold_frames.get(&pair).copied().unwrap_or(0);
                 self.at(
-                    held.max(self.now + WIRE_MS),
+                    held.max(self.now + self.wire_ms),
                     Step::Frame {
                         to: other,
                         life,
@@ -557,7 +623,7 @@
                 let mut lag = match &target {
                     Target::State => STATE_MS,
                     Target::Cloud => CLOUD_MS,
-                    Target::Worker(_) => WIRE_MS,
+                    Target::Worker(_) => self.wire_ms,
                 };
                 if let Some(Trap::CrashBefore(_, back)) = self.trapped(&path, &body, |t| {
                     if let Trap::CrashBefore(k, _) = t {
@@ -578,6 +644,9 @@
                     self.note(format!("a transaction on {key} is held back"));
                     lag = ms;
                 }
+                if path == "/do" {
+                    self.given(node, &body);
+                }
                 if path == "/multi" {
                     lag = self.late_write().unwrap_or(lag);
                 }
@@ -743,6 +812,10 @@
             }
             Step::Check => {
                 self.check();
+                let calm = self.calm.is_some_and(|calm| self.now >= calm);
+                if calm && self.now % ROOM_CHECK_MS == 0 {
+                    self.check_room();
+                }
                 self.at(self.now + CHECK_MS, Step::Check);
             }
             Step::User(job) => self.user_turn(&job),
@@ -877,7 +950,6 @@
                 kind: hire.machine_type,
                 zone: hire.zone,
                 spot: hire.spot,
-                cpus: 4.0,
                 session: 1,
                 seq: 0,
                 token: 0,
@@ -1044,7 +1116,7 @@
             close: false,
             body,
         };
-        self.at(self.now + WIRE_MS, Step::Ask { ask, node, request });
+        self.at(self.now + self.wire_ms, Step::Ask { ask, node, request });
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -1095,7 +1167,7 @@
         };
         if method == "GET" {
             let report = w.report();
-            return self.answer(node, life, call, WIRE_MS, (200, encode(&report)));
+            return self.answer(node, life, call, self.wire_ms, (200, encode(&report)));
         }
         let Ok(orders) = decode::<Orders>(&body) else {
             return;
@@ -1122,7 +1194,7 @@
             node,
             life,
             call,
-            WIRE_MS,
+            self.wire_ms,
             (if fits { 200 } else { 409 }, encode(&report)),
         );
     }
@@ -1137,7 +1209,7 @@
                     if w.tasks.get(&task).is_some_and(|t| t.attempt == attempt) {
                         continue;
                     }
-                    let job = task.split('/').next().unwrap_or("").to_owned();
+                    let job = job_of(&task).to_owned();
                     let Some(j) = self.jobs.get(&job) else {
                         continue;
                     };
@@ -1187,6 +1259,31 @@
 
     // ---- Rules ------------------------------------------------------------------------------
 
+    /// Commands leave a node. None of them starts what has been called cancelled for long, unless the
+    /// same message stops it: that uses up an attempt which may still arrive.
+    fn given(&mut self, node: usize, body: &[u8]) {
+        let now = self.now;
+        let over = |j: &Job| j.cancelled_at.is_some_and(|at| now > at + START_MS);
+        if !self.any_cancelled {
+            return;
+        }
+        let Ok(orders) = decode::<Orders>(body) else {
+            return;
+        };
+        let stops = |task: &str| {
+            let stop = |c: &Command| matches!(c, Command::Stop { task: t, .. } if t == task);
+            orders.commands.iter().any(stop)
+        };
+        for c in &orders.commands {
+            if let Command::Start { task, .. } = c {
+                let job = self.jobs.get(job_of(task));
+                if job.is_some_and(over) && !stops(task) {
+                    self.broke(format!("started_cancelled {task} by node-{node}"));
+                }
+            }
+        }
+    }
+
     fn started(&mut self, id: &str, task: &str, attempt: u64) {
         self.note(format!("{task}#{attempt} starts on {id}"));
         let twice: Vec<String> = self
@@ -1198,10 +1295,11 @@
         for other in twice {
             self.broke(format!("ran_twice {task} on {other} and {id}"));
         }
-        let job = task.split('/').next().unwrap_or("").to_owned();
+        let job = job_of(task).to_owned();
         let (run_ms, spec) = (self.jobs[&job].run_ms, self.jobs[&job].spec.clone());
         if let Some(j) = self.jobs.get_mut(&job) {
             j.begun.get_or_insert(self.now);
+            j.waits_since = None;
         }
         let w = self.workers.get_mut(id).expect("worker");
         if let Some(t) = w.tasks.get_mut(task) {
@@ -1213,10 +1311,92 @@
         }
         self.check_team(&spec.team, spec.cpus);
         let w = self.workers.get_mut(id).expect("worker");
-        if spec.zone.as_ref().is_some_and(|z| *z != w.zone) {
-            let zone = w.zone.clone();
-            self.broke(format!("wrong_place {task} in {zone}"));
+        let (kind, zone, spot) = (w.kind.clone(), w.zone.clone(), w.spot);
+        if !allowed(&spec, &kind, &zone, spot) {
+            self.broke(format!(
+                "wrong_place {task} in {zone} on {kind}, spot {spot}"
+            ));
+        }
+        if spec.one_zone || spec.spread {
+            let zones = self.zones_of(&job);
+            let here = zones.get(&zone).copied().unwrap_or(0);
+            if spec.one_zone && zones.len() > 1 || spec.spread && here > half(&spec) {
+                self.broke(format!("wrong_place {task} in {zone}: {zones:?}"));
+            }
+        }
+    }
+
+    /// How many of its tasks are on machines in each zone.
+    fn zones_of(&self, job: &str) -> BTreeMap<String, u32> {
+        let mut zones = BTreeMap::new();
+        for w in self.workers.values() {
+            let on = |t: &&String| job_of(t) == job && w.on_machine(t);
+            let n = w.tasks.keys().filter(on).count() as u32;
+            if n > 0 {
+                *zones.entry(w.zone.clone()).or_default() += n;
+            }
         }
+        zones
+    }
+
+    /// After the troubles no job waits for long beside room for one of its tasks.
+    fn check_room(&mut self) {
+        let now = self.now;
+        // What is free on each machine, and what each team and job has.
+        let mut free: Vec<(&Worker, f64, f64)> = vec![];
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut present: BTreeMap<&str, u32> = BTreeMap::new();
+        for w in self.workers.values() {
+            let (mut cpus, mut gb) = (MACHINE_CPUS, MACHINE_GB);
+            for (task, t) in &w.tasks {
+                if t.state != TaskState::Exited {
+                    let job = job_of(task);
+                    let spec = &self.jobs[job].spec;
+                    (cpus, gb) = (cpus - spec.cpus, gb - spec.memory_gb);
+                    *used.entry(&spec.team).or_default() += spec.cpus;
+                    *present.entry(job).or_default() += 1;
+                }
+            }
+            if w.grid <= now && w.notice_s.is_none() {
+                free.push((w, cpus + 1e-6, gb + 1e-6));
+            }
+        }
+        let mut waits = vec![];
+        for (id, j) in self.jobs.iter().filter(|(_, j)| j.open()) {
+            let spec = &j.spec;
+            let there = present.get(id.as_str()).copied().unwrap_or(0);
+            let most = self.settings[0]
+                .team(&spec.team)
+                .map_or(0.0, |t| t.cpus_max);
+            let team = used.get(spec.team.as_str()).copied().unwrap_or(0.0);
+            if j.finished.len() as u32 + there >= spec.tasks || team + spec.cpus > most + 1e-6 {
+                continue;
+            }
+            let zones = match spec.one_zone || spec.spread {
+                true => self.zones_of(id),
+                false => BTreeMap::new(),
+            };
+            let fits = free.iter().any(|(w, cpus, gb)| {
+                let here = zones.get(&w.zone).copied().unwrap_or(0);
+                let zone_ok = (!spec.one_zone || zones.is_empty() || here > 0)
+                    && (!spec.spread || here < half(spec));
+                let room = *cpus >= spec.cpus && *gb >= spec.memory_gb;
+                room && zone_ok && allowed(spec, &w.kind, &w.zone, w.spot)
+            });
+            if fits {
+                waits.push(id.clone());
+            }
+        }
+        let mut broken = vec![];
+        for (id, j) in &mut self.jobs {
+            if waits.binary_search(id).is_err() {
+                j.waits_since = None;
+            } else if now > *j.waits_since.get_or_insert(now) + WAIT_MS {
+                j.waits_since = None;
+                broken.push(format!("waits_beside_room {id}"));
+            }
+        }
+        broken.into_iter().for_each(|b| self.broke(b));
     }
 
     /// A team's use grows only when a task starts: it is added up anew only where, with all that
@@ -1230,7 +1410,7 @@
         }
         let tasks = self.workers.values().flat_map(|w| {
             let names = w.tasks.keys().filter(|t| w.on_machine(t));
-            names.map(|t| &self.jobs[t.split('/').next().unwrap_or("")].spec)
+            names.map(|t| &self.jobs[job_of(t)].spec)
         });
         let used: f64 = tasks.filter(|s| s.team == team).map(|s| s.cpus).sum();
         *bound = used;
@@ -1249,7 +1429,7 @@
         let mut late = vec![];
         for w in self.workers.values() {
             for task in w.tasks.keys().filter(|t| w.on_machine(t)) {
-                if over(&self.jobs[task.split('/').next().unwrap_or("")]) {
+                if over(&self.jobs[job_of(task)]) {
                     late.push(format!("ran_cancelled {task} on {}", w.id));
                 }
             }
@@ -1278,6 +1458,8 @@
             status: 0,
             answered: self.now,
             begun: None,
+            ended_at: None,
+            waits_since: None,
         };
         self.jobs.insert(id.clone(), job);
         self.at(self.now, Step::User(id));
@@ -1319,10 +1501,8 @@
 
     /// The user asks to cancel in this moment, at that node first.
     pub fn cancel_now(&mut self, id: &str, node: usize) {
-        if let Some(j) = self.jobs.get_mut(id) {
-            j.cancel_asked = true;
-            self.user_asks(id, node);
-        }
+        self.jobs.get_mut(id).expect("job").cancel_asked = true;
+        self.user_asks(id, node);
     }
 
     fn user_asks(&mut self, id: &str, node: usize) {
@@ -1378,6 +1558,43 @@
         self.ask(self.next_ask, node, method, path, vec![]);
     }
 
+    /// An odd request; its answer is checked and lands in the log.
+    pub fn odd(&mut self, node: usize, kind: Odd, job: &str, body: Vec<u8>) {
+        self.next_ask += 1;
+        let ask = self.next_ask;
+        self.asks
+            .insert(ask, Asker::Odd(kind, job.into(), self.now));
+        let (method, path) = match kind {
+            Odd::CancelDone => ("POST", format!("/submissions/{job}/cancel")),
+            Odd::Unknown => ("GET", format!("/submissions/{job}")),
+            _ => ("POST", "/submissions".into()),
+        };
+        self.ask(ask, node, method, &path, body);
+    }
+
+    fn odd_answered(&mut self, kind: Odd, job: &str, asked: Ms, status: u16, body: &[u8]) {
+        let what = format!("{kind:?} {job} is answered {status}");
+        self.note(what.clone());
+        let told = self.jobs.get(job);
+        let known = |j: &&Job| j.ended_at.is_some_and(|at| at < asked);
+        let ended = told.filter(known).and_then(|j| j.ended);
+        let state = decode::<JobStatus>(body).ok().map(|s| s.state);
+        let busy = matches!(status, 0 | 429 | 503 | 504);
+        match (kind, status) {
+            (Odd::Repeat | Odd::CancelDone, 200) if ended.is_none() && state.is_some() => {}
+            (Odd::Repeat | Odd::CancelDone, 200) if state.is_some() && ended == state => {}
+            (Odd::Repeat | Odd::CancelDone, 200) => {
+                self.broke(format!("went_back {what}, {state:?} after {ended:?}"));
+            }
+            (Odd::Repeat | Odd::CancelDone, _) if !busy => self.broke(format!("forgotten {what}")),
+            (Odd::Unknown, 200) => self.broke(format!("invented {what}")),
+            (Odd::Unknown, 404) | (Odd::Impossible, 422) | (Odd::Malformed, 400) => {}
+            (Odd::Malformed, s) if s != 0 => self.broke(format!("bad_answer {what}")),
+            _ if !busy => self.broke(format!("bad_answer {what}")),
+            _ => {}
+        }
+    }
+
     fn replied(&mut self, ask: u64, status: u16, body: &[u8]) {
         let now = self.now;
         let Some(asker) = self.asks.remove(&ask) else {
@@ -1417,6 +1634,7 @@
                 w.renewed = sent;
                 self.execute(&id, orders.commands);
             }
+            Asker::Odd(kind, job, asked) => self.odd_answered(kind, &job, asked, status, body),
             Asker::Probe => self.note(format!("probe answered {status}")),
             Asker::Submit(id) => {
                 let j = self.jobs.get_mut(&id).expect("job");
@@ -1444,9 +1662,11 @@
                 }
                 if matches!(s.state, JobPhase::Done | JobPhase::Cancelled) && was.is_none() {
                     j.ended = Some(s.state);
+                    j.ended_at = Some(now);
                     let missing = j.finished.len() < j.spec.tasks as usize;
                     if s.state == JobPhase::Cancelled {
                         j.cancelled_at = Some(now);
+                        self.any_cancelled = true;
                     }
                     let asked = j.cancel_asked;
                     self.note(format!("{id} is told {:?}", s.state));
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -10,8 +10,10 @@
 //! | `state-rps N` | requests a second that it takes |
 //! | `team NAME N MOST` | its guarantee and limit, in CPUs |
 //! | `value-bytes N` | bytes a record may take; little makes one record a machine |
+//! | `wire S` | how long a message takes between nodes, and between them and workers and users |
+//! | `spot-machines` | the cloud has them too |
 //! | `capacity N` | machines the cloud has at most |
-//! | `T submit JOB KIND N [key value]...` | keys: cpus, run, due, team, zone, priority, image |
+//! | `T submit JOB KIND N [key value]...` | keys: cpus, gb, run, due, team, zone, type, one-zone, spread, spot, priority, image |
 //! | `T cancel JOB` | its user asks to cancel |
 //! | `T cancel-now JOB N` | likewise, in this very moment and at that node |
 //! | `T cancel-at-end JOB [LAG]` | its user cancels in the moment its last task ends, or so much later |
@@ -37,18 +39,23 @@
 //! | `T copy-do MACHINE LAG` | direct commands to it are carried out once more so much later |
 //! | `T restart MACHINE` | its process ends and is back at once |
 //! | `T arrive EVERY N FIRST KIND TASKS [key value]...` | from now on such jobs keep coming, N of them, named from that number |
-//! | `calm T` | the troubles are over; from then on each job's questions are answered within 75 s |
+//! | `calm T` | the troubles are over; from then on each job's questions are answered within 75 s, and none waits 90 s beside room |
 //! | `T new-session MACHINE` | its worker kills and forgets everything |
 //! | `T notice MACHINE S` | its worker reports that much notice from now on |
 //! | `T keep-report MACHINE` / `T deliver-kept N` | a report now made arrives at a node then |
 //! | `T hold-do MACHINE S` | only direct commands to it are held back |
 //! | `T probe N METHOD PATH` | a stray request; its status is logged |
-//! | `T expect JOB done\|cancelled\|accepted\|open\|begun\|STATUS` | what the user was told by then, or whether a task has started |
+//! | `T odd N repeat\|cancel-done JOB` | a submission once more; the cancel of a job that is done |
+//! | `T odd N impossible KIND N [key value]...` | a submission that can never run |
+//! | `T odd N no-field FIELD` / `bad-field FIELD VALUE` / `list` / `no-message` | a malformed one |
+//! | `T odd N unknown` | a question about a job of nobody's |
+//! | `T expect JOB done\|cancelled\|ended\|accepted\|open\|begun\|STATUS` | what the user was told by then, or whether a task has started |
 //! | `T expect-log TEXT` / `T expect-no-log TEXT` | what the log holds by then |
 //! | `until T` | the end; no rule may be broken by then |
 use crate::outside::Ms;
-use crate::sim::{Sim, Trap};
-use stonegw_wire::msg::{JobKind, JobPhase, JobSpec, Priority};
+use crate::sim::{Odd, Sim, Trap};
+use serde_json::Value;
+use stonegw_wire::msg::{decode, encode, JobKind, JobPhase, JobSpec, Priority};
 
 fn ms(text: &str) -> Ms {
     let s: f64 = text
@@ -88,6 +95,8 @@
             "value-bytes" => sim.value_bytes(l[1].parse().expect("bytes")),
             "capacity" => sim.cloud.capacity = l[1].parse().expect("capacity"),
             "until" => until = ms(&l[1]),
+            "wire" => sim.wire_ms = ms(&l[1]),
+            "spot-machines" => sim.spot_machines(),
             "calm" => sim.calm = Some(ms(&l[1])),
             when => script.push((ms(when), l[1..].to_vec())),
         }
@@ -123,6 +132,113 @@
     (number(first)..=number(last)).map(|n| format!("host-{n:06}"))
 }
 
+/// `JOB KIND N [key value]...`, and how long each task runs.
+fn job(words: &[String]) -> (JobSpec, Ms) {
+    let mut spec = JobSpec {
+        id: words[0].clone(),
+        class: "work".into(),
+        team: "red".into(),
+        kind: if words[1] == "standing" {
+            JobKind::Service
+        } else {
+            JobKind::Array
+        },
+        priority: Priority::Normal,
+        tasks: words[2].parse().expect("tasks"),
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    let mut run_ms = if spec.kind == JobKind::Service {
+        1 << 40
+    } else {
+        10_000
+    };
+    for pair in words[3..].chunks(2) {
+        match pair[0].as_str() {
+            "cpus" => spec.cpus = pair[1].parse().expect("cpus"),
+            "gb" => spec.memory_gb = pair[1].parse().expect("gb"),
+            "type" => spec.types = Some(vec![pair[1].clone()]),
+            "one-zone" => spec.one_zone = pair[1] == "yes",
+            "spread" => spec.spread = pair[1] == "yes",
+            "spot" => spec.spot = pair[1] == "yes",
+            "run" => run_ms = ms(&pair[1]),
+            "due" => spec.deadline_s = Some(pair[1].parse().expect("due")),
+            "team" => spec.team = pair[1].clone(),
+            "zone" => spec.zone = Some(pair[1].clone()),
+            "image" => spec.image = pair[1].clone(),
+            "priority" => {
+                spec.priority = match pair[1].as_str() {
+                    "high" => Priority::High,
+                    "low" => Priority::Low,
+                    _ => Priority::Normal,
+                }
+            }
+            other => panic!("unknown key {other}"),
+        }
+    }
+    (spec, run_ms)
+}
+
+/// `odd NODE KIND [ARG]...`: sends a request that no careful user sends, or no other.
+fn odd(sim: &mut Sim, line: &[String]) {
+    // A job of nobody's, as it were well formed.
+    let number = 900_000 + sim.log.len();
+    let stray = |rest: &str| {
+        let text = format!("run-{number} {rest}");
+        let words: Vec<String> = text.split_whitespace().map(str::to_owned).collect();
+        job(&words).0
+    };
+    let name = format!("run-{number}");
+    let arg = line.get(3).map_or("", String::as_str);
+    let mut fields: Value = decode(&encode(&stray("sweep 1"))).expect("a job");
+    let (kind, id, body) = match line[2].as_str() {
+        "repeat" => {
+            let spec = &sim.jobs[arg].spec;
+            (Odd::Repeat, arg.to_owned(), encode(spec))
+        }
+        "cancel-done" => (Odd::CancelDone, arg.to_owned(), vec![]),
+        "unknown" => (Odd::Unknown, name, vec![]),
+        // The rest of the line says what the job is like.
+        "impossible" => {
+            let spec = stray(&line[3..].join(" "));
+            (Odd::Impossible, name, encode(&spec))
+        }
+        "no-field" => {
+            let gone = fields.as_object_mut().expect("a map").remove(arg);
+            assert!(gone.is_some(), "no field {arg}");
+            (Odd::Malformed, name, encode(&fields))
+        }
+        "bad-field" => {
+            assert!(fields.get(arg).is_some(), "no field {arg}");
+            fields[arg] = serde_json::from_str(&line[4]).expect("a value");
+            (Odd::Malformed, name, encode(&fields))
+        }
+        "list" => {
+            let order = "uid lane crew shape urgency pieces cpus cards memGb bundle pullGb builds \
+                         yard oneZone spread loaners expectS markEveryS markCostS dueS";
+            let values: Vec<&Value> = order.split_whitespace().map(|f| &fields[f]).collect();
+            (Odd::Malformed, name, encode(&values))
+        }
+        "no-message" => (Odd::Malformed, name, vec![0xc1]),
+        other => panic!("unknown odd request {other}"),
+    };
+    for n in targets(sim, &line[1]) {
+        sim.odd(n, kind, &id, body.clone());
+    }
+}
+
 pub(crate) fn act(sim: &mut Sim, line: &[String]) {
     let word = |i: usize| line.get(i).map(String::as_str).unwrap_or("");
     let text = line.join(" ");
@@ -134,55 +250,7 @@
     }
     match word(0) {
         "submit" => {
-            let mut spec = JobSpec {
-                id: word(1).into(),
-                class: "work".into(),
-                team: "red".into(),
-                kind: if word(2) == "standing" {
-                    JobKind::Service
-                } else {
-                    JobKind::Array
-                },
-                priority: Priority::Normal,
-                tasks: word(3).parse().expect("tasks"),
-                cpus: 1.0,
-                gpus: 0.0,
-                memory_gb: 1.0,
-                image: "img".into(),
-                image_gb: 1.0,
-                types: None,
-                zone: None,
-                one_zone: false,
-                spread: false,
-                spot: false,
-                estimate_s: 10.0,
-                checkpoint_s: 0.0,
-                save_s: 0.0,
-                deadline_s: None,
-            };
-            let mut run_ms = if spec.kind == JobKind::Service {
-                1 << 40
-            } else {
-                10_000
-            };
-            for pair in line[4..].chunks(2) {
-                match pair[0].as_str() {
-                    "cpus" => spec.cpus = pair[1].parse().expect("cpus"),
-                    "run" => run_ms = ms(&pair[1]),
-                    "due" => spec.deadline_s = Some(pair[1].parse().expect("due")),
-                    "team" => spec.team = pair[1].clone(),
-                    "zone" => spec.zone = Some(pair[1].clone()),
-                    "image" => spec.image = pair[1].clone(),
-                    "priority" => {
-                        spec.priority = match pair[1].as_str() {
-                            "high" => Priority::High,
-                            "low" => Priority::Low,
-                            _ => Priority::Normal,
-                        }
-                    }
-                    other => panic!("unknown key {other}"),
-                }
-            }
+            let (spec, run_ms) = job(&line[1..]);
             sim.submit(spec, run_ms);
         }
         "cancel" => {
@@ -197,9 +265,7 @@
         }
         "cancel-at-end" => {
             let lag = if word(2).is_empty() { 0 } else { ms(word(2)) };
-            if let Some(j) = sim.jobs.get_mut(word(1)) {
-                j.cancel_at_end = Some(lag);
-            }
+            sim.jobs.get_mut(word(1)).expect("job").cancel_at_end = Some(lag);
         }
         "late-writes" => {
             let every = (1.0 / word(1).parse::<f64>().expect("share")).round() as u64;
@@ -220,6 +286,7 @@
             let until = sim.now + ms(word(3));
             sim.hold_frames.insert((a.min(b), a.max(b)), until);
         }
+        "odd" => odd(sim, line),
         "cut-peers" => {
             let (a, b) = (targets(sim, word(1)), targets(sim, word(2)));
             sim.cut_peers(a[0], b[0], ms(word(3)));
@@ -325,6 +392,7 @@
                 "cancelled" => j.ended == Some(JobPhase::Cancelled),
                 "accepted" => j.accepted,
                 "open" => j.ended.is_none(),
+                "ended" => j.ended.is_some(),
                 "begun" => j.begun.is_some(),
                 status => j.status.to_string() == status,
             };
