--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -18,6 +18,8 @@
 /// A worker looks at itself each time this has passed since it was up.
 const WORKER_STEP_MS: Ms = 100;
 const CHECK_MS: Ms = 100;
+/// Links dialled to a node are numbered by who dialled, in which life.
+const LIVES: u64 = 1_000;
 /// After the troubles no task waits longer beside room for it (the operators' page).
 const WAIT_MS: Ms = 90_000;
 const ROOM_CHECK_MS: Ms = 1_000;
@@ -589,10 +591,13 @@
                             .iter()
                             .position(|s| s.node == *name)
                             .expect("known");
-                        (other, Link::In(node as u64))
+                        (other, Link::In(life * LIVES + node as u64))
                     }
                     Link::In(other) => {
-                        let other = other as usize;
+                        let (life, other) = (other / LIVES, (other % LIVES) as usize);
+                        if life != self.lives[other] {
+                            return;
+                        }
                         (other, Link::Out(self.link(other, node).expect("known")))
                     }
                 };
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -88,4 +88,6 @@
     tasks_end_far_apart,
     ten_leaders,
     zone_jobs_lose_machines,
+    gap_leader_cut_users,
+    gap_before_new_leader,
 );
