--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -72,4 +72,12 @@
     gap_leader_cut,
     gap_no_leader_yet,
     state_outage_beyond_cancel,
+    gap_confirmer_ends,
+    gap_confirmer_ends_for_long,
+    gap_hung_machine,
+    gap_late_confirmation,
+    gap_leader_refused,
+    gap_link_cut,
+    gap_new_leader,
+    gap_same_moment,
 );
