--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -97,4 +97,9 @@
     gap_new_leader,
     gap_same_moment,
     odd_list,
+    array_starves_beside_replicas,
+    gap_late_frames,
+    gap_late_frames_and_end,
+    gap_confirmer_alone,
+    gap_two_outages,
 );
