--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -98,4 +98,10 @@
     zone_jobs_lose_machines,
     gap_leader_cut_users,
     gap_before_new_leader,
+    odd_list,
+    array_starves_beside_replicas,
+    gap_late_frames,
+    gap_late_frames_and_end,
+    gap_confirmer_alone,
+    gap_two_outages,
 );
