A list is no map; what no machine will ever have room for is rented for

Now a job with nothing running and no machine whose room would ever do is rented one. Ruled out: renting only once the job is owed a start (150 s, again 180 s): it ended, but minutes late.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -104,6 +104,13 @@
     }
 }
 
+/// Whether a task may go to such a machine.
+fn allowed(s: &JobSpec, kind: &str, zone: &str, spot: bool) -> bool {
+    (!spot || s.spot)
+        && s.types.as_ref().is_none_or(|t| t.iter().any(|t| t == kind))
+        && s.zone.as_ref().is_none_or(|z| z == zone)
+}
+
 fn fits(free: (f64, f64, f64), s: &JobSpec) -> bool {
     free.0 + k::EPSILON >= s.cpus
         && free.1 + k::EPSILON >= s.gpus
@@ -393,6 +400,8 @@
     fn decide(&mut self, ctx: &Ctx) {
         let now = ctx.now.ms;
         let mut bins: Vec<Bin> = vec![];
+        // The same machines with the room that comes free in the end: all but what urgent work takes.
+        let mut lasting: Vec<Bin> = vec![];
         for m in self.machines.values() {
             let Some(t) = self.kind(&m.kind) else {
                 continue;
@@ -408,13 +417,16 @@
                 } else {
                     (t.boot_s - age).max(t.boot_s * 0.2)
                 };
-                bins.push(Bin {
+                let bin = |free| Bin {
                     eta,
                     kind: m.kind.clone(),
                     zone: m.zone.clone(),
                     spot: m.spot,
-                    free: m.free(t),
-                });
+                    free,
+                };
+                bins.push(bin(m.free(t)));
+                let (c, g, mem) = self.staying(m);
+                lasting.push(bin((t.cpus - c, t.gpus - g, t.memory_gb - mem)));
             }
         }
         for r in &self.fleet.renting {
@@ -456,6 +468,12 @@
                 let used = self.machines.team(&s.team).0;
                 n = n.min(((t.cpus_max - used).max(0.0) / s.cpus.max(0.01)) as usize);
             }
+            // All the CPUs at hand are of no use to a task that no single machine will have room for.
+            let ever = |b: &Bin| fits(b.free, s) && allowed(s, &b.kind, &b.zone, b.spot);
+            if n > 0 && self.machines.present_of(id).next().is_none() && !lasting.iter().any(ever) {
+                wants.push((s.priority, 0.0, s.clone(), 1));
+                continue;
+            }
             let due = w.due_s(ctx.now.wall_ms);
             if let Some(due) = due {
                 let run = self.sched.mean_s(s).max(1.0);
@@ -611,15 +629,10 @@
         hires: &mut HashMap<(String, String, bool), u32>,
         fresh: bool,
     ) {
-        let allowed = |kind: &str, zone: &str, spot: bool| {
-            (!spot || s.spot)
-                && s.types.as_ref().is_none_or(|t| t.iter().any(|t| t == kind))
-                && s.zone.as_ref().is_none_or(|z| z == zone)
-        };
         let first = if fresh { bins.len() } else { 0 };
         let mut left = n as u32;
         for b in &mut bins[first..] {
-            if left > 0 && fits(b.free, s) && allowed(&b.kind, &b.zone, b.spot) {
+            if left > 0 && fits(b.free, s) && allowed(s, &b.kind, &b.zone, b.spot) {
                 let k = rooms(b.free, s).min(left);
                 b.take(s, k);
                 left -= k;
@@ -644,7 +657,7 @@
                         let key = (t.name.clone(), zone.clone(), spot);
                         let waits = self.fleet.refused.get(&key).is_some_and(|r| now < r.0);
                         let full = hires.get(&key).copied().unwrap_or(0) >= step;
-                        if waits || full || !allowed(&t.name, zone, spot) {
+                        if waits || full || !allowed(s, &t.name, zone, spot) {
                             continue;
                         }
                         // Among equals, the zone with fewer machines: one cut hurts less.
--- a/crates/control/src/overdue.rs
+++ b/crates/control/src/overdue.rs
@@ -116,21 +116,23 @@
                     && t.memory_gb + k::EPSILON >= spec.memory_gb
             })
         };
-        let staying = |m: &Machine| -> i64 {
-            let urgent = |job: &str| self.works.get(job).is_some_and(Work::urgent);
-            let stay = m
-                .placements
-                .iter()
-                .filter(|p| p.present() && urgent(&p.job));
-            stay.map(|p| (p.cpus * 1e3) as i64).sum()
-        };
         self.machines
             .values()
             .filter(|m| holds(m) && self.usable(ctx, m, w) && !self.is_kept(&m.id, job))
-            .min_by_key(|m| (staying(m), (m.used().0 * 1e3) as Ms))
+            .min_by_key(|m| ((self.staying(m).0 * 1e3) as i64, (m.used().0 * 1e3) as Ms))
             .map(|m| m.id.clone())
     }
 
+    /// What urgent work takes of a machine, which does not end by itself.
+    pub fn staying(&self, m: &Machine) -> (f64, f64, f64) {
+        let urgent = |job: &str| self.works.get(job).is_some_and(Work::urgent);
+        let stay = m.placements.iter();
+        let stay = stay.filter(|p| p.present() && urgent(&p.job));
+        stay.fold((0.0, 0.0, 0.0), |(c, g, mem), p| {
+            (c + p.cpus, g + p.gpus, mem + p.memory)
+        })
+    }
+
     /// Whether a machine's room is kept for another job.
     pub fn is_kept(&self, machine: &str, job: &str) -> bool {
         let mut kept = self.sched.kept.iter();
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -7,7 +7,11 @@
 }
 
 /// Decodes one body; trailing bytes are an error.
+/// Every body is a map; a list, whose elements could be taken for the fields in turn, is none.
 pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    if !matches!(body.first(), Some(0x80..=0x8f | 0xde | 0xdf)) {
+        return Err("not a map".into());
+    }
     let mut de = rmp_serde::Deserializer::new(std::io::Cursor::new(body));
     let value = T::deserialize(&mut de).map_err(|e| e.to_string())?;
     if de.position() != body.len() as u64 {
