--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -221,7 +221,7 @@
     /// have been seen.
     pub late_writes: Option<(u64, Ms)>,
     writes_seen: u64,
-    /// A copy of one in so many reports arrives so much later at another node: how many, from and
+    /// A copy of one in so many reports arrives so much later, at each node in turn: how many, from and
     /// to how much later, until; and how many have been seen.
     pub late_reports: Option<(u64, Ms, Ms, Ms)>,
     reports_seen: u64,
@@ -1059,10 +1059,14 @@
                 self.asks.insert(ask, Asker::Worker(id.into()));
                 self.ask(ask, node, "POST", "/agent/beat", encode(&report));
             }
-            let lag = self.copy_reports.get(id).copied();
-            if let Some(lag) = lag.or_else(|| self.late_report()) {
+            let nodes = self.nodes.len();
+            let copy = self
+                .copy_reports
+                .get(id)
+                .map(|lag| (*lag, (node + 1) % nodes));
+            if let Some((lag, node)) = copy.or_else(|| self.late_report()) {
                 self.next_ask += 1;
-                let (ask, node) = (self.next_ask, (node + 1) % self.nodes.len());
+                let ask = self.next_ask;
                 self.asks.insert(ask, Asker::Probe);
                 let request = Request {
                     method: "POST".into(),
@@ -1089,12 +1093,13 @@
         self.worker_due(id, next.max(now + 1));
     }
 
-    /// How much later a copy of this report arrives, if it is one of those.
-    fn late_report(&mut self) -> Option<Ms> {
+    /// How much later and where a copy of this report arrives, if it is one of those.
+    fn late_report(&mut self) -> Option<(Ms, usize)> {
         let (every, from, to, _) = self.late_reports.filter(|l| self.now < l.3)?;
         self.reports_seen += 1;
-        let copied = self.reports_seen % every == 0;
-        copied.then(|| spaced(self.reports_seen / every, from, to))
+        let copy = self.reports_seen / every;
+        let node = copy as usize % self.nodes.len();
+        (self.reports_seen % every == 0).then(|| (spaced(copy, from, to), node))
     }
 
     /// The worker looks at itself at the next step of its own from then on, if not before.
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -33,7 +33,7 @@
 //! | `T mute MACHINE S` | its reports reach no node, though commands reach it |
 //! | `T slow-state S LAG` | for that time the state service's answers take so much longer |
 //! | `T late-writes SHARE S` | for that time such a share of transactions gets no answer and is carried out 2 to 12 s later |
-//! | `T late-reports SHARE FROM TO S` | for that time such a share of reports arrives once more, so much later, elsewhere |
+//! | `T late-reports SHARE FROM TO S` | for that time such a share of reports arrives once more, so much later, at each node in turn |
 //! | `T deaf MACHINE S` | its reports arrive, answers don't; commands arrive afterwards |
 //! | `T copy-reports MACHINE LAG` | from now on its reports arrive once more so much later, elsewhere |
 //! | `T copy-do MACHINE LAG` | direct commands to it are carried out once more so much later |
