A watch that comes late is no word from the state service; trace gap_late_watch

A refused node's open watch delivers, when the refusal ends, what it held when it fired, though the service is out for all by then; any answer counted as fresh word, so leases were renewed 22 s anew. Coverage moves only with reads, from their sending, which mends it; the watch no longer clears the sign of failure either. A claim's lease counts from when it was asked for, not from when it was seen to be won.

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -205,18 +205,26 @@
 }
 
 impl Leader {
-    pub fn new(term: u64, lease: u64, now: Ms, catalog: Catalog, set: &Settings) -> Leader {
+    /// `leased_at`: when its lease was asked for.
+    pub fn new(
+        term: u64,
+        lease: u64,
+        now: Ms,
+        leased_at: Ms,
+        catalog: Catalog,
+        set: &Settings,
+    ) -> Leader {
         Leader {
             term,
             lease,
             deposed: false,
             resigned: false,
-            renewed_at: now,
-            renew_sent: now,
+            renewed_at: leased_at,
+            renew_sent: leased_at,
             stage: Stage::Loading,
             since: now,
             watch_at: 0,
-            renew_at: now + k::RENEW_MS,
+            renew_at: now,
             renewing: false,
             load: Some((MACHINES, None, false, now)),
             next_attempt: term * k::ATTEMPTS_PER_TERM,
--- a/crates/control/src/node/elect.rs
+++ b/crates/control/src/node/elect.rs
@@ -135,6 +135,7 @@
                         k::STATE_TIMEOUT_MS,
                     );
                     self.calls.insert(call, Call::Grant);
+                    self.grant_sent = now;
                     self.set_role(Role::Granting);
                 }
             }
@@ -162,6 +163,7 @@
             term,
             lease,
             self.now.ms,
+            self.grant_sent,
             catalog,
             &self.set,
         )));
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -159,6 +159,8 @@
     watching: bool,
     watch_at: Ms,
     pub role: Role,
+    /// When the lease for our claim was asked for: it may run out so much sooner.
+    grant_sent: Ms,
     pub leader: Option<Box<Leader>>,
     catalog: Option<Catalog>,
     catalog_at: Ms,
@@ -233,6 +235,7 @@
             watching: false,
             watch_at: 0,
             role: Role::Follower,
+            grant_sent: 0,
             leader: None,
             catalog: None,
             catalog_at: 0,
@@ -447,8 +450,10 @@
                 self.catalog_at = now + k::CLOUD_RETRY_MS;
                 return;
             }
-            // A watch that hangs says nothing: during an outage open watches wait.
-            Call::Watch if result.is_err() => {}
+            // A watch that hangs says nothing: during an outage open watches wait. Nor does one that
+            // comes after calls have failed: the service may tell us alone, late, what it held
+            // back while it refused us, and be away by then.
+            Call::Watch if result.is_err() || self.state_failed_at.is_some() => {}
             _ => self.state_seen(&result),
         }
         match what {
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -922,6 +922,22 @@
         }
     }
 
+    /// A watch that was held while its node was refused tells, late, the first change that it saw.
+    pub fn deliver_watch(&mut self, node: usize) {
+        for (n, life, call, prefix, since, until) in std::mem::take(&mut self.watches) {
+            let mut changes = self.state.changes(&prefix, since);
+            changes.events.truncate(1);
+            match changes.events.first() {
+                Some(Change::Put { version, .. } | Change::Delete { version, .. }) if n == node => {
+                    changes.revision = *version;
+                    self.note(format!("a held watch of node-{n} tells revision {version}"));
+                    self.answer(n, life, call, STATE_MS, (200, encode(&changes)));
+                }
+                _ => self.watches.push((n, life, call, prefix, since, until)),
+            }
+        }
+    }
+
     fn wake_watches(&mut self) {
         for (node, life, call, prefix, since, until) in std::mem::take(&mut self.watches) {
             let out = self
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -40,6 +40,7 @@
 //! | `T restart MACHINE` | its process ends and is back at once |
 //! | `T arrive EVERY N FIRST KIND TASKS [key value]...` | from now on such jobs keep coming, N of them, named from that number |
 //! | `calm T` | the troubles are over; from then on each job's questions are answered within 75 s, and none waits 90 s beside room |
+//! | `T deliver-watch N` | a watch held while that node was refused tells the first change it saw |
 //! | `T new-session MACHINE` | its worker kills and forgets everything |
 //! | `T notice MACHINE S` | its worker reports that much notice from now on |
 //! | `T keep-report MACHINE` / `T deliver-kept N` | a report now made arrives at a node then |
@@ -371,6 +372,11 @@
             let w = sim.workers.get_mut(word(1)).expect("machine");
             w.notice_s = Some(word(2).parse().expect("seconds"));
         }
+        "deliver-watch" => {
+            for n in targets(sim, word(1)) {
+                sim.deliver_watch(n);
+            }
+        }
         "keep-report" => {
             let report = sim.workers.get_mut(word(1)).expect("machine").report();
             sim.kept.push_back(stonegw_wire::msg::encode(&report));
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -78,6 +78,7 @@
     gap_late_confirmation,
     gap_leader_refused,
     gap_link_cut,
+    gap_late_watch,
     gap_new_leader,
     gap_same_moment,
     all_nodes_away,
