--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -1371,7 +1371,7 @@
                 free.push((w, cpus + 1e-6, gb + 1e-6));
             }
         }
-        let mut waits = vec![];
+        let mut waits = BTreeMap::new();
         for (id, j) in self.jobs.iter().filter(|(_, j)| j.open()) {
             let spec = &j.spec;
             let there = present.get(id.as_str()).copied().unwrap_or(0);
@@ -1386,24 +1386,26 @@
                 true => self.zones_of(id),
                 false => BTreeMap::new(),
             };
-            let fits = free.iter().any(|(w, cpus, gb)| {
+            let fits = free.iter().find(|(w, cpus, gb)| {
                 let here = zones.get(&w.zone).copied().unwrap_or(0);
                 let zone_ok = (!spec.one_zone || zones.is_empty() || here > 0)
                     && (!spec.spread || here < half(spec));
                 let room = *cpus >= spec.cpus && *gb >= spec.memory_gb;
                 room && zone_ok && allowed(spec, &w.kind, &w.zone, w.spot)
             });
-            if fits {
-                waits.push(id.clone());
+            if let Some((w, ..)) = fits {
+                waits.insert(id.clone(), w.id.clone());
             }
         }
         let mut broken = vec![];
         for (id, j) in &mut self.jobs {
-            if waits.binary_search(id).is_err() {
+            let Some(machine) = waits.get(id) else {
                 j.waits_since = None;
-            } else if now > *j.waits_since.get_or_insert(now) + WAIT_MS {
+                continue;
+            };
+            if now > *j.waits_since.get_or_insert(now) + WAIT_MS {
                 j.waits_since = None;
-                broken.push(format!("waits_beside_room {id}"));
+                broken.push(format!("waits_beside_room {id} on {machine}"));
             }
         }
         broken.into_iter().for_each(|b| self.broke(b));
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -13,7 +13,7 @@
 //! | `wire S` | how long a message takes between nodes, and between them and workers and users |
 //! | `spot-machines` | the cloud has them too |
 //! | `capacity N` | machines the cloud has at most |
-//! | `T submit JOB KIND N [key value]...` | keys: cpus, gb, run, due, team, zone, type, one-zone, spread, spot, priority, image |
+//! | `T submit JOB KIND N [key value]...` | keys: cpus, gb, run, estimate, due, team, zone, type, one-zone, spread, spot, priority, image |
 //! | `T cancel JOB` | its user asks to cancel |
 //! | `T cancel-now JOB N` | likewise, in this very moment and at that node |
 //! | `T cancel-at-end JOB [LAG]` | its user cancels in the moment its last task ends, or so much later |
@@ -174,6 +174,7 @@
             "spread" => spec.spread = pair[1] == "yes",
             "spot" => spec.spot = pair[1] == "yes",
             "run" => run_ms = ms(&pair[1]),
+            "estimate" => spec.estimate_s = pair[1].parse().expect("estimate"),
             "due" => spec.deadline_s = Some(pair[1].parse().expect("due")),
             "team" => spec.team = pair[1].clone(),
             "zone" => spec.zone = Some(pair[1].clone()),
