--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -62,10 +62,10 @@
 mutant gap_leader_cut_users started_cancelled "leader/jobs.rs" 's/\(Some\(end\), _\) => \{/(Some(End::Cancelled), _) => {}\n                (Some(end), _) => {/'
 mutant work_grows expect "schedule.rs" 's/let fetch = seat\.fetch_s\(c\);/let fetch = seat.fetch_s(c);\n            let _ = self.machines.get(\&seat.id);/'
 mutant gap_late_watch ran_cancelled "node/mod.rs" 's/Some\(true\) if self\.role == Role::Leading => self\.watch_at = now,/Some(true) if self.role == Role::Leading => {\n                        self.coverage.read(now);\n                        self.watch_at = now;\n                    }/'
-mutant gap_link_cut ran_cancelled "node/coverage.rs" 's/all\.into_iter\(\)\.min\(\)/all.into_iter().max()/; s/a\.map\(\|a\| a\.upto\)/Some(a.map_or(0, |a| a.upto))/'
+mutant gap_confirmer_cut_off ran_cancelled "node/coverage.rs" 's/all\.into_iter\(\)\.min\(\)/all.into_iter().max()/; s/a\.map\(\|a\| a\.upto\)/Some(a.map_or(0, |a| a.upto))/'
 mutant gap_confirmer_ends ran_cancelled "node/coverage.rs" 's/filter\(\|a\| a\.from <= upto\)/filter(|a| a.from <= Ms::MAX)/'
 mutant gap_leader_refused ran_cancelled "node/relay.rs" 's/for part in list\.chunks\(frame::MAX_FRAME \/ size_of::<Cancelled>\(\)\)/for part in list.chunks(frame::MAX_FRAME).take(0)/'
-mutant gap_leader_cut ran_cancelled "node/relay.rs" 's/self\.uncovered_ms\(\) <= \(spare_s/0 * self.uncovered_ms() <= (spare_s/; s/upto\.map_or\(Ms::MAX,/upto.map_or(0,/'
+mutant gap_late_watch ran_cancelled "node/relay.rs" 's/self\.uncovered_ms\(\) <= \(spare_s/0 * self.uncovered_ms() <= (spare_s/; s/upto\.map_or\(Ms::MAX,/upto.map_or(0,/'
 mutant many_deaf expect "leader/silence.rs" 's/self\.many_deaf_until = later;/self.many_deaf_until = now + 1;/'
 mutant array_starves_beside_replicas expect "fleet.rs" 's/&& !lasting\.iter\(\)\.any\(ever\)/\&\& false \&\& !lasting.iter().any(ever)/'
 exit $bad
