What was put off for long takes the room that a mapping leaves free

Smallest exception found: a job without a start for 60 s takes, first fit, room that is still free after the mapping. The order within the mapping stays.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -311,6 +311,9 @@
 pub const OVERDUE_MS: u64 = 150_000;
 /// ms without a further start after which it does so again.
 pub const OVERDUE_AGAIN_MS: u64 = 180_000;
+/// ms without a start after which a job takes room that the mapping leaves free, whatever its chance:
+/// none may wait 90 s beside room for it.
+pub const PUT_OFF_MS: u64 = 60_000;
 /// One in so many of its tasks goes first then.
 pub const OVERDUE_PART: usize = 8;
 
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -274,7 +274,7 @@
     }
 
     /// Takes a task out of the queues.
-    fn unhold(&mut self, job: &str, index: u32) {
+    pub fn unhold(&mut self, job: &str, index: u32) {
         if !self.machines.is_held(job, index) {
             return;
         }
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -651,6 +651,11 @@
         j.is_some_and(|j| j.held.contains_key(&index))
     }
 
+    /// A task of the job that is held in some machine's queue.
+    pub fn first_held(&self, job: &str) -> Option<u32> {
+        self.sums.jobs.get(job)?.held.keys().next().copied()
+    }
+
     pub fn held_of(&self, job: &str) -> usize {
         self.sums.jobs.get(job).map_or(0, |j| j.held.len())
     }
--- a/crates/control/src/overdue.rs
+++ b/crates/control/src/overdue.rs
@@ -63,6 +63,66 @@
         }
     }
 
+    /// Room that the mapping leaves free goes, first fit, to jobs without a start for a while, whose
+    /// tasks it put off for too small a chance or queued behind others elsewhere: a low chance is
+    /// better than none beside an idle machine.
+    pub fn place_put_off(&mut self, ctx: &Ctx) {
+        let now = ctx.now.ms;
+        let waits = |id: &str, w: &Work| {
+            let since = w.moved_at.map_or_else(
+                || ctx.now.wall_ms.saturating_sub(w.at),
+                |at| now.saturating_sub(at),
+            );
+            since >= k::PUT_OFF_MS
+                && (!w.pending.is_empty() || self.machines.held_of(id) > 0)
+                && !w.ending
+                && now >= w.retry_at
+        };
+        let waiting = self.works.iter().filter(|(id, w)| waits(id, w));
+        let mut waiting: Vec<(u64, String)> = waiting.map(|(id, w)| (w.at, id.clone())).collect();
+        if waiting.is_empty() {
+            return;
+        }
+        waiting.sort();
+        let roomy = self.roomy(ctx);
+        for (_, job) in waiting {
+            while self.place_one_put_off(ctx, &job, &roomy) {}
+        }
+    }
+
+    fn place_one_put_off(&mut self, ctx: &Ctx, job: &str, roomy: &[String]) -> bool {
+        let Some(w) = self.works.get(job) else {
+            return false;
+        };
+        let held = self.machines.first_held(job);
+        let Some(index) = w.pending.first().copied().or(held) else {
+            return false;
+        };
+        let spec = &w.spec;
+        if !self.allows(ctx, spec, (0.0, 0.0)) || self.team_kept(spec) {
+            return false;
+        }
+        let takes = |m: &&Machine| {
+            self.room(m, spec)
+                && self.usable(ctx, m, w)
+                && !self.is_kept(&m.id, job)
+                && !self.is_made(ctx.now.ms, &m.id)
+        };
+        let fit = roomy.iter().filter_map(|id| self.machines.get(id));
+        let fit = fit.filter(takes);
+        let fit = fit.min_by_key(|m| (!m.held.is_empty(), self.first_fit(m, spec)));
+        let Some(id) = fit.map(|m| m.id.clone()) else {
+            return false;
+        };
+        log::debug!("{job}/{index} was put off for long and takes room on {id}");
+        self.unhold(job, index);
+        let placed = self.place(&id, job, index);
+        if !placed {
+            self.back(job, index);
+        }
+        placed
+    }
+
     /// Places one task that is owed. False: there is none, or no room for it yet.
     fn place_owed(&mut self, ctx: &Ctx, job: &str) -> bool {
         let Some(w) = self.works.get(job).filter(|w| w.owed > 0) else {
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -305,6 +305,7 @@
             self.place_overdue(ctx);
             self.map(ctx);
             self.place_now(ctx, false);
+            self.place_put_off(ctx);
             self.reclaim(ctx);
         }
     }
@@ -378,14 +379,7 @@
         if order.is_empty() {
             return;
         }
-        // Machines with any room: looked for once, not for each task.
-        let roomy: Vec<String> = self
-            .machines
-            .values()
-            .filter(|m| self.open(ctx, m))
-            .filter(|m| self.kind(&m.kind).is_some_and(|t| m.free(t).0 > k::EPSILON))
-            .map(|m| m.id.clone())
-            .collect();
+        let roomy = self.roomy(ctx);
         // Room that is being made for some of them already.
         let mut claims = self.claims(now);
         let mut none: Vec<Shape> = vec![];
@@ -457,6 +451,14 @@
         }
     }
 
+    /// Machines with any room: looked for once, not for each task.
+    pub fn roomy(&self, ctx: &Ctx) -> Vec<String> {
+        let open = self.machines.values().filter(|m| self.open(ctx, m));
+        open.filter(|m| self.kind(&m.kind).is_some_and(|t| m.free(t).0 > k::EPSILON))
+            .map(|m| m.id.clone())
+            .collect()
+    }
+
     /// One mapping event.
     fn map(&mut self, ctx: &Ctx) {
         let wall = ctx.now.wall_ms;
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -68,4 +68,6 @@
 mutant gap_late_watch ran_cancelled "node/relay.rs" 's/self\.uncovered_ms\(\) <= \(spare_s/0 * self.uncovered_ms() <= (spare_s/; s/upto\.map_or\(Ms::MAX,/upto.map_or(0,/'
 mutant many_deaf expect "leader/silence.rs" 's/self\.many_deaf_until = later;/self.many_deaf_until = now + 1;/'
 mutant array_starves_beside_replicas expect "fleet.rs" 's/&& !lasting\.iter\(\)\.any\(ever\)/\&\& false \&\& !lasting.iter().any(ever)/'
+mutant put_off_beside_room waits_beside_room "schedule.rs" 's/self\.place_put_off\(ctx\);/let _ = ctx;/'
+mutant waits_in_a_queue waits_beside_room "schedule.rs" 's/self\.place_put_off\(ctx\);/let _ = ctx;/'
 exit $bad
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -100,6 +100,8 @@
     gap_leader_cut_users,
     gap_before_new_leader,
     odd_list,
+    put_off_beside_room,
+    waits_in_a_queue,
     array_starves_beside_replicas,
     gap_late_frames,
     gap_late_frames_and_end,
