A job that can never run is told so also while the state service is away

Types and limits are alike on all nodes, so none can have accepted what never runs; before, such a submission got 503 for as long as the outage lasted. Trace odd_in_outage, red without it.

--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -122,10 +122,15 @@
                 "machine types not known yet",
             );
         };
+        let verdict = can_run(spec, &self.set, catalog);
         if self.sync != Sync::Live || self.state_out() {
-            return self.refuse(id);
+            // Types and limits are alike on all nodes: none can have taken what never runs.
+            return match verdict {
+                Err(why) if self.sync == Sync::Live => self.out.error(id, 422, None, &why),
+                _ => self.refuse(id),
+            };
         }
-        match can_run(spec, &self.set, catalog) {
+        match verdict {
             // Another node may have taken it under other circumstances: ask before refusing.
             Err(_) => {
                 let p = p(ask);
