--- a/crates/control/src/leader/silence.rs
+++ b/crates/control/src/leader/silence.rs
@@ -130,13 +130,14 @@
         self.deleted.retain(|_, at| now < *at + k::DELETED_MS);
     }
 
-    /// Asks machines that don't hear us: an answer shows that they do again.
+    /// Asks machines that don't hear us, or are not trusted to: an answer shows that they do again.
+    /// Nothing else would, for nothing is sent there.
     pub(super) fn inspect(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.ms;
         let due: Vec<(String, String)> = self
             .machines
             .values()
-            .filter(|m| m.deaf() && now >= m.inspect_at && m.life != Life::Deleting)
+            .filter(|m| !m.trusted() && now >= m.inspect_at && m.life != Life::Deleting)
             .filter_map(|m| Some((m.id.clone(), m.addr.clone()?)))
             .collect();
         for (machine, addr) in due {
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -70,4 +70,5 @@
 mutant array_starves_beside_replicas expect "fleet.rs" 's/&& !lasting\.iter\(\)\.any\(ever\)/\&\& false \&\& !lasting.iter().any(ever)/'
 mutant put_off_beside_room waits_beside_room "schedule.rs" 's/self\.place_put_off\(ctx\);/let _ = ctx;/'
 mutant waits_in_a_queue waits_beside_room "schedule.rs" 's/self\.place_put_off\(ctx\);/let _ = ctx;/'
+mutant doubted_machine waits_beside_room "leader/silence.rs" 's/filter\(\|m\| !m\.trusted\(\)/filter(|m| m.deaf()/'
 exit $bad
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -99,6 +99,7 @@
     zone_jobs_lose_machines,
     gap_leader_cut_users,
     gap_before_new_leader,
+    doubted_machine,
     odd_in_outage,
     odd_list,
     put_off_beside_room,
