--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -314,6 +314,8 @@
 /// ms without a start after which a job takes room that the mapping leaves free, whatever its chance:
 /// none may wait 90 s beside room for it.
 pub const PUT_OFF_MS: u64 = 60_000;
+/// ms after which it may also be room on machines with a queue, which that room would serve next.
+pub const PUT_OFF_QUEUED_MS: u64 = 75_000;
 /// One in so many of its tasks goes first then.
 pub const OVERDUE_PART: usize = 8;
 
--- a/crates/control/src/overdue.rs
+++ b/crates/control/src/overdue.rs
@@ -65,32 +65,37 @@
 
     /// Room that the mapping leaves free goes, first fit, to jobs without a start for a while, whose
     /// tasks it put off for too small a chance or queued behind others elsewhere: a low chance is
-    /// better than none beside an idle machine.
+    /// better than none beside an idle machine. Room that queued tasks wait for is taken later.
     pub fn place_put_off(&mut self, ctx: &Ctx) {
         let now = ctx.now.ms;
-        let waits = |id: &str, w: &Work| {
-            let since = w.moved_at.map_or_else(
+        let waited = |w: &Work| {
+            w.moved_at.map_or_else(
                 || ctx.now.wall_ms.saturating_sub(w.at),
                 |at| now.saturating_sub(at),
-            );
-            since >= k::PUT_OFF_MS
+            )
+        };
+        let waits = |id: &str, w: &Work| {
+            waited(w) >= k::PUT_OFF_MS
                 && (!w.pending.is_empty() || self.machines.held_of(id) > 0)
                 && !w.ending
                 && now >= w.retry_at
         };
         let waiting = self.works.iter().filter(|(id, w)| waits(id, w));
-        let mut waiting: Vec<(u64, String)> = waiting.map(|(id, w)| (w.at, id.clone())).collect();
+        let queued = |w: &Work| waited(w) >= k::PUT_OFF_QUEUED_MS;
+        let waiting = waiting.map(|(id, w)| (w.at, id.clone(), queued(w)));
+        let mut waiting: Vec<(u64, String, bool)> = waiting.collect();
         if waiting.is_empty() {
             return;
         }
         waiting.sort();
         let roomy = self.roomy(ctx);
-        for (_, job) in waiting {
-            while self.place_one_put_off(ctx, &job, &roomy) {}
+        for (_, job, queued) in waiting {
+            while self.place_one_put_off(ctx, &job, &roomy, queued) {}
         }
     }
 
-    fn place_one_put_off(&mut self, ctx: &Ctx, job: &str, roomy: &[String]) -> bool {
+    /// `queued`: machines with a queue will do as well.
+    fn place_one_put_off(&mut self, ctx: &Ctx, job: &str, roomy: &[String], queued: bool) -> bool {
         let Some(w) = self.works.get(job) else {
             return false;
         };
@@ -103,7 +108,8 @@
             return false;
         }
         let takes = |m: &&Machine| {
-            self.room(m, spec)
+            (queued || m.held.is_empty())
+                && self.room(m, spec)
                 && self.usable(ctx, m, w)
                 && !self.is_kept(&m.id, job)
                 && !self.is_made(ctx.now.ms, &m.id)
