A node that has read nothing yet asks for no cancellations

Its answers could not count, and during an outage it would have been sent every cancellation there ever was each second.

--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -316,7 +316,7 @@
                 self.peers[i].up = true;
                 self.peers[i].heard = now.ms;
                 self.peers[i].counted = false;
-                self.hello(Link::Out(i), now.ms);
+                self.ask_peer(i);
             }
             Event::LinkDown(Link::Out(i)) => self.peers[i].up = false,
             Event::LinkUp(Link::In(_)) | Event::LinkDown(Link::In(_)) => {}
@@ -348,7 +348,7 @@
             self.seen.retain(|_, at| now < *at + old);
             for i in 0..self.peers.len() {
                 if self.peers[i].up {
-                    self.hello(Link::Out(i), now);
+                    self.ask_peer(i);
                 }
             }
             self.send_counts();
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -278,13 +278,23 @@
         orders
     }
 
+    /// Asks another node. One that has read nothing yet needs no answer to count, nor all
+    /// cancellations there ever were each second.
+    pub(super) fn ask_peer(&mut self, peer: usize) {
+        let (asked, revision) = match self.replica.revision {
+            0 => (0, u64::MAX),
+            revision => (self.now.ms.max(1), revision),
+        };
+        self.hello(Link::Out(peer), asked, revision);
+    }
+
     /// `asked`: our time when we ask, the other's when we answer.
-    pub(super) fn hello(&mut self, to: Link, asked: Ms) {
+    fn hello(&mut self, to: Link, asked: Ms, revision: u64) {
         let hello = Hello {
             term: self.replica.highest_term.max(self.higher_term).into(),
             nonce: self.nonce.into(),
             asked: asked.into(),
-            revision: self.replica.revision.into(),
+            revision: revision.into(),
             leads: u8::from(self.role == Role::Leading),
             state_ok: u8::from(self.sync == Sync::Live && self.state_failed_at.is_none()),
             name: frame::name(&self.set.node),
@@ -330,7 +340,9 @@
                         self.peers[i].heard = now;
                         self.peers[i].state_ok = h.state_ok != 0;
                         let (life, asked) = (h.nonce.get(), h.asked.get());
-                        self.coverage.attested(i, life, asked, now);
+                        if asked > 0 {
+                            self.coverage.attested(i, life, asked, now);
+                        }
                     }
                     // Every hello is answered, so that both ends of a link hear the other.
                     Link::In(_) => {
@@ -340,7 +352,7 @@
                             let lacks: Vec<_> =
                                 self.replica.cancelled_since(since).cloned().collect();
                             self.send_cancelled(from, lacks.iter());
-                            self.hello(from, h.asked.get());
+                            self.hello(from, h.asked.get(), self.replica.revision);
                         } else {
                             log::warn!("a stranger says hello: {name:?}");
                         }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -99,7 +99,8 @@
 
     /// Cancellations known that a reader of everything up to a revision may not know.
     pub fn cancelled_since(&self, revision: u64) -> impl Iterator<Item = &(u64, String)> {
-        self.cancelled.range((revision + 1, String::new())..)
+        self.cancelled
+            .range((revision.saturating_add(1), String::new())..)
     }
 
     /// What ends the cancelled tasks in a report.
