--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -100,6 +100,7 @@
     gap_leader_cut_users,
     gap_before_new_leader,
     doubted_machine,
+    kept_room_beside_work,
     odd_in_outage,
     odd_list,
     put_off_beside_room,
