--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -39,7 +39,7 @@
 mutant back_at_once expect "node/elect.rs" 's/conditions: vec!\[Condition \{\s+key: LEADER\.into\(\),\s+version: 0,\s+\}\],/conditions: vec![],/'
 mutant large_zone_cut expect "node/relay.rs" 's/if bytes \+ size > room \{/if !batch.is_empty() {/'
 mutant many_deaf expect "leader/silence.rs" 's/if many_deaf \{ 3 \* lease_ms/if false { 3 * lease_ms/'
-mutant zone_cut_off expect "node/relay.rs" 's/if self\.shut_in && fresh/if false \&\& fresh/'
+mutant zone_cut_off expect "node/relay.rs" 's/if self\.shut_in && self\.covered\(\)/if false \&\& self.covered()/'
 mutant zone_cut_off expect "leader/silence.rs" 's/self\.cut_until\.insert\(zone\.to_owned\(\), later\)/self.cut_until.insert(zone.to_owned(), now + 1)/'
 mutant zone_cut_new_leader expect "fleet.rs" 's/let over = if m\.listed_up \{/let over = if false {/'
 mutant odd_requests bad_answer "node/mod.rs" 's/if !fits \{/if !fits \&\& false {/'
