--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -109,6 +109,7 @@
     gap_late_frames,
     gap_late_frames_and_end,
     gap_confirmer_alone,
+    gap_confirmer_back_at_once,
     gap_confirmer_cut_off,
     gap_two_outages,
 );
