--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -80,6 +80,9 @@
 pub const ADMIT_WEIGHT: f64 = 0.02;
 /// s told to a client that found the limit reached.
 pub const RETRY_BUSY_S: u32 = 2;
+/// s told to a client whose gang comes before all controllers run a release that knows gangs: a
+/// rolling upgrade takes a minute or so.
+pub const RETRY_GATE_S: u32 = 10;
 /// s told to a client when the state service did not answer.
 pub const RETRY_STATE_S: u32 = 1;
 
--- a/crates/control/src/leader/command.rs
+++ b/crates/control/src/leader/command.rs
@@ -14,7 +14,7 @@
         for p in &mut m.placements {
             let (task, attempt) = (p.task(), p.attempt);
             match p.phase {
-                Phase::New => {}
+                Phase::New | Phase::Stored => {}
                 Phase::Ready | Phase::Sent => {
                     // A predecessor's task is never sent again: the record may be older than
                     // the task's move elsewhere. Either the worker shows it, or it is gone.
@@ -48,7 +48,7 @@
                         out.push(Command::Start { task, attempt });
                     }
                 }
-                Phase::Fetching | Phase::Running | Phase::Saving => {
+                Phase::Fetching | Phase::Gathering | Phase::Running | Phase::Saving => {
                     if let Some(grace_s) = p.stop {
                         if beat || now >= p.stop_sent + k::STOP_REPEAT_MS {
                             p.stop_sent = now;
@@ -88,7 +88,7 @@
                     && !m.deaf()
                     && m.placements.iter().any(|p| match p.phase {
                         Phase::Ready => p.stop.is_none() && ctx.covered,
-                        Phase::Fetching | Phase::Running => {
+                        Phase::Fetching | Phase::Gathering | Phase::Running => {
                             p.stop.is_some() && now >= p.stop_sent + k::STOP_REPEAT_MS
                         }
                         _ => false,
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -196,7 +196,7 @@
                     missed |= seq > p.sent_seq;
                 }
                 let out = match p.phase {
-                    Phase::New | Phase::Ready => false,
+                    Phase::New | Phase::Stored | Phase::Ready => false,
                     Phase::Exited { settled, .. } => settled && p.clear_sent && beat,
                     _ if p.inherited => true,
                     // A `run` of ours may be on its way: by a direct command without answer,
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -336,9 +336,9 @@
             }
             for p in &m.placements {
                 match p.phase {
-                    Phase::New => unstored += 1,
+                    Phase::New | Phase::Stored => unstored += 1,
                     Phase::Ready | Phase::Sent => unseen += 1,
-                    Phase::Fetching => fetching += 1,
+                    Phase::Fetching | Phase::Gathering => fetching += 1,
                     Phase::Running | Phase::Saving => running += 1,
                     Phase::Exited { .. } => {}
                 }
@@ -434,6 +434,7 @@
 fn phase_of(t: &TaskReport) -> Phase {
     match t.state {
         TaskState::Fetching | TaskState::Other => Phase::Fetching,
+        TaskState::Gathering => Phase::Gathering,
         TaskState::Running => Phase::Running,
         TaskState::Saving => Phase::Saving,
         TaskState::Exited => Phase::Exited {
--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -105,8 +105,7 @@
         let mut gone = vec![];
         m.placements.retain(|p| {
             if let Gone::Session { inherited_too } = how {
-                let unsent = matches!(p.phase, Phase::New | Phase::Ready);
-                if unsent || p.inherited && !inherited_too {
+                if p.unsent() || p.inherited && !inherited_too {
                     return true;
                 }
             }
--- a/crates/control/src/leader/silence.rs
+++ b/crates/control/src/leader/silence.rs
@@ -111,8 +111,7 @@
             let no_more = matches!(m.life, Life::Draining | Life::Deleting) || quiet || m.deaf();
             let any = !m.placements.is_empty() || !m.held.is_empty();
             let ended = |p: &Placement| {
-                matches!(p.phase, Phase::New | Phase::Ready)
-                    && (p.stop.is_some() || !self.works.contains_key(&p.job))
+                p.unsent() && (p.stop.is_some() || !self.works.contains_key(&p.job))
             };
             if no_more && any || m.placements.iter().any(ended) {
                 unsent.push((m.id.clone(), no_more));
@@ -173,8 +172,7 @@
         let mut back = vec![];
         m.placements.retain(|p| {
             let unwanted = p.stop.is_some() || !works.contains_key(&p.job) || closing;
-            let out = p.phase == Phase::Ready && unwanted
-                || p.phase == Phase::New && unwanted && !writing;
+            let out = unwanted && p.unsent() && !(p.phase == Phase::New && writing);
             if out {
                 back.push((p.job.clone(), p.index));
             }
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -9,16 +9,21 @@
 
 /// A task on a machine, from the decision until it is proven gone.
 ///
-/// `New` -> `Ready` (stored) -> `Sent` -> `Fetching` -> `Running` (-> `Saving`) -> `Exited`.
+/// `New` -> `Ready` (stored) -> `Sent` -> `Fetching` -> `Running` (-> `Saving`) -> `Exited`. A gang's
+/// task is `Stored` until all of its attempt are, and `Gathering` until all have their image.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
     /// Not stored yet: no `run` may go out.
     New,
+    /// Stored, but other tasks of its gang are not: no `run` may go out.
+    Stored,
     /// Stored; no `run` has gone out.
     Ready,
     /// A `run` has gone out, by us or by an earlier leader; the worker has not shown it.
     Sent,
     Fetching,
+    /// Has its image and waits for the other tasks of its gang.
+    Gathering,
     Running,
     Saving,
     /// Not on the machine any more. `settled`: what follows from it is stored.
@@ -81,6 +86,11 @@
         task_name(&self.job, self.index)
     }
 
+    /// No `run` has gone out for it: it may simply be taken back.
+    pub fn unsent(&self) -> bool {
+        matches!(self.phase, Phase::New | Phase::Stored | Phase::Ready)
+    }
+
     pub fn set_phase(&mut self, to: Phase) {
         if self.phase != to {
             log::trace!(
@@ -313,7 +323,7 @@
         for p in &self.placements {
             match p.phase {
                 Phase::Running | Phase::Saving => self.ran += p.cpus * dt,
-                Phase::Fetching => self.fetched += p.cpus * dt,
+                Phase::Fetching | Phase::Gathering => self.fetched += p.cpus * dt,
                 _ => {}
             }
         }
@@ -359,7 +369,7 @@
     fn wants_commands(&self) -> bool {
         self.placements.iter().any(|p| match p.phase {
             Phase::Ready => p.stop.is_none(),
-            Phase::Fetching | Phase::Running => p.stop.is_some(),
+            Phase::Fetching | Phase::Gathering | Phase::Running => p.stop.is_some(),
             _ => false,
         })
     }
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -546,7 +546,8 @@
     }
     let n = match spec.kind {
         JobKind::Array => 1.0,
-        JobKind::Service => f64::from(spec.tasks),
+        // All its tasks run at the same time.
+        JobKind::Service | JobKind::Gang => f64::from(spec.tasks),
     };
     if spec.cpus * n > team.cpus_max + k::EPSILON || spec.gpus * n > team.gpus_max + k::EPSILON {
         return Err("needs more than the team's limit".into());
--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -19,6 +19,11 @@
             && self.now.ms.saturating_sub(self.state_ok_at) > k::STATE_DOWN_MS
     }
 
+    /// Whether every controller is known to run a release that can read a gang's record.
+    fn gangs_open(&self) -> bool {
+        false
+    }
+
     pub(super) fn request(&mut self, id: u64, request: Request) {
         let path = request.path.split('?').next().unwrap_or("");
         let method = request.method.as_str();
@@ -122,6 +127,10 @@
                 "machine types not known yet",
             );
         };
+        if spec.kind == JobKind::Gang && !self.gangs_open() {
+            let why = "gangs are taken once every controller runs a release that knows them";
+            return self.out.error(id, 503, Some(k::RETRY_GATE_S), why);
+        }
         let verdict = can_run(spec, &self.set, catalog);
         if self.sync != Sync::Live || self.state_out() {
             // Types and limits are alike on all nodes: none can have taken what never runs.
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -43,6 +43,9 @@
 pub enum JobKind {
     #[serde(rename = "sweep")]
     Array,
+    /// Tasks that all run at the same time, or none does.
+    #[serde(rename = "ensemble")]
+    Gang,
     #[serde(rename = "standing")]
     Service,
 }
@@ -189,6 +192,8 @@
 #[serde(rename_all = "lowercase")]
 pub enum TaskState {
     Fetching,
+    /// A gang's task that waits for the other tasks of its attempt.
+    Gathering,
     Running,
     #[serde(rename = "flushing")]
     Saving,
@@ -209,6 +214,11 @@
     Busy,
     #[serde(rename = "no_such")]
     Unknown,
+    /// Another task of its gang is gone.
+    #[serde(rename = "mates_gone")]
+    PeersGone,
+    /// Its gang was not complete in time.
+    Incomplete,
     /// Causes of later protocol versions; treated as a stop.
     #[serde(other)]
     Other,
