--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -322,6 +322,25 @@
 /// One in so many of its tasks goes first then.
 pub const OVERDUE_PART: usize = 8;
 
+// ---- Gangs ------------------------------------------------------------------------------
+
+/// s that a gang's task waits for the others, where the settings don't say: the protocol's example.
+pub const GANG_WAIT_S: f64 = 35.0;
+/// s within which a gang's tasks notice the loss of one, where the settings don't say; likewise.
+pub const GANG_PEER_S: f64 = 8.0;
+/// s, the least that either may be set to: below it no command could arrive in time.
+pub const LEAST_GANG_S: f64 = 0.1;
+/// ms between looks at all gangs; changes are looked at at once.
+pub const GANG_CHECK_MS: u64 = 250;
+/// ms that a gang waits for leftover room before machines are reserved for it: as long as it takes
+/// one mapping to pass it over.
+pub const GANG_RESERVE_MS: u64 = 1_000;
+/// ms, the soonest that a running task is expected to end: one that is overdue may end any moment.
+pub const GANG_SOONEST_END_MS: u64 = 1_000;
+/// ms of run time that each task of a gang loses by a stop beside its progress: exits, another
+/// round of placing, and waiting for the last image.
+pub const GANG_RESTART_MS: u64 = 5_000;
+
 // ---- Fleet ------------------------------------------------------------------------------
 
 /// ms between fleet decisions.
--- /dev/null
+++ b/crates/control/src/gang/mod.rs
@@ -0,0 +1,294 @@
+//! Gangs: jobs whose tasks all run at the same time, or none does.
+//!
+//! A gang is started as one attempt: every task gets the same attempt number, all placements are
+//! stored before the first `run` goes out, and when one task of the attempt is lost the whole
+//! attempt ends. The next attempt begins only once every task of the last is proven gone, so a
+//! task never runs twice and limits and zones need no exception. A gang's waiting tasks are not
+//! in `Work::pending`: nothing that places single tasks can take one of them.
+//!
+//! `place` chooses machines and places an attempt whole, `reserve` keeps or makes room for one.
+use crate::api::Ms;
+use crate::leader::{Ctx, Leader};
+use crate::ledger::{Phase, Work};
+use std::collections::BTreeSet;
+use stonegw_constants as k;
+
+mod place;
+mod reserve;
+
+pub use reserve::Reservation;
+
+/// The life of a gang.
+///
+/// `Waiting` -> `Storing` -> `Gathering` -> `Running`; from each of these `Ending`, and from there
+/// `Waiting` again. A gang that is done or cancelled leaves with its job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GangState {
+    /// No task of it may be on a machine: it can be placed.
+    Waiting,
+    /// An attempt's placements are being stored; nothing of it has been sent.
+    Storing { attempt: u64 },
+    /// All placements are stored. Its tasks are started, fetch their image and wait for each other.
+    Gathering { attempt: u64 },
+    /// All its tasks were seen running.
+    Running { attempt: u64, since: Ms },
+    /// The attempt is over or being stopped; some of its tasks are not proven gone.
+    Ending,
+}
+
+/// What the leader holds of a gang besides its job.
+#[derive(Clone, Debug)]
+pub struct Gang {
+    pub state: GangState,
+    /// The pruner dropped it: it runs in leftover room.
+    pub dropped: bool,
+    /// When its last attempt had ended.
+    ended_at: Option<Ms>,
+    /// Attempts that this leader began.
+    attempts: u32,
+}
+
+impl Default for Gang {
+    fn default() -> Self {
+        Gang {
+            state: GangState::Waiting,
+            dropped: false,
+            ended_at: None,
+            attempts: 0,
+        }
+    }
+}
+
+impl Gang {
+    /// The one place where a gang's state changes.
+    fn set_state(&mut self, job: &str, to: GangState) {
+        if self.state != to {
+            log::debug!("gang {job} {:?} -> {to:?}", self.state);
+            self.state = to;
+        }
+    }
+}
+
+/// A task of a gang that may be on a machine.
+#[derive(Clone, Debug)]
+struct Member {
+    machine: String,
+    index: u32,
+    attempt: u64,
+    phase: Phase,
+    stopping: bool,
+}
+
+/// The state that follows from what is known of the tasks.
+fn next_state(now: Ms, state: GangState, members: &[Member], tasks: u32) -> GangState {
+    let Some(attempt) = members.iter().map(|m| m.attempt).max() else {
+        return GangState::Waiting;
+    };
+    let current = members
+        .iter()
+        .filter(|m| m.attempt == attempt && !m.stopping);
+    let indexes: BTreeSet<u32> = current.clone().map(|m| m.index).collect();
+    if indexes.len() < tasks as usize {
+        return GangState::Ending;
+    }
+    if current.clone().any(|m| m.phase == Phase::New) {
+        return GangState::Storing { attempt };
+    }
+    if current.clone().any(|m| m.phase != Phase::Running) {
+        return GangState::Gathering { attempt };
+    }
+    match state {
+        GangState::Running { attempt: a, .. } if a == attempt => state,
+        _ => GangState::Running {
+            attempt,
+            since: now,
+        },
+    }
+}
+
+impl Leader {
+    /// A gang's tasks that may be on machines, of any attempt.
+    fn members(&self, job: &str) -> Vec<Member> {
+        let mut members = vec![];
+        for id in self.machines.of_job(job) {
+            let placements = self.machines.get(&id).into_iter();
+            let placements = placements.flat_map(|m| &m.placements);
+            for p in placements.filter(|p| p.job == job && p.present()) {
+                members.push(Member {
+                    machine: id.clone(),
+                    index: p.index,
+                    attempt: p.attempt,
+                    phase: p.phase,
+                    stopping: p.stop.is_some(),
+                });
+            }
+        }
+        members
+    }
+
+    /// Takes every gang to the state that follows from its tasks.
+    pub fn advance_gangs(&mut self, ctx: &Ctx) {
+        let now = ctx.now.ms;
+        if !self.gangs_changed && now < self.gangs_at {
+            return;
+        }
+        self.gangs_changed = false;
+        self.gangs_at = now + k::GANG_CHECK_MS;
+        let gangs = self.works.iter().filter(|(_, w)| w.gang.is_some());
+        let gangs: Vec<String> = gangs.map(|(id, _)| id.clone()).collect();
+        for job in gangs {
+            self.advance_gang(ctx, &job);
+        }
+    }
+
+    fn advance_gang(&mut self, ctx: &Ctx, job: &str) {
+        let now = ctx.now.ms;
+        let members = self.members(job);
+        let Some(work) = self.works.get_mut(job) else {
+            return;
+        };
+        let tasks = work.spec.tasks;
+        let done = work.done_count == tasks;
+        let Some(gang) = &mut work.gang else { return };
+        let before = gang.state;
+        let next = next_state(now, before, &members, tasks);
+        gang.set_state(job, next);
+        match next {
+            // What is done has only to be stored; its last tasks are about to exit.
+            _ if done => {}
+            GangState::Waiting if before != GangState::Waiting => {
+                gang.ended_at = Some(now);
+                self.wake = true;
+            }
+            GangState::Waiting | GangState::Storing { .. } => {}
+            GangState::Gathering { attempt } => {
+                self.release(job, attempt, &members);
+                if self.leaving_soon(ctx, job, &members) {
+                    self.stop_gang(ctx, job);
+                }
+            }
+            GangState::Running { .. } => {
+                if self.leaving_soon(ctx, job, &members) {
+                    self.stop_gang(ctx, job);
+                }
+            }
+            GangState::Ending => self.stop_members(&members, job, 0.0),
+        }
+    }
+
+    /// All placements of the attempt are stored: its `run` commands may go out.
+    fn release(&mut self, job: &str, attempt: u64, members: &[Member]) {
+        for member in members.iter().filter(|m| m.phase == Phase::Stored) {
+            let Some(mut machine) = self.machines.edit(&member.machine) else {
+                continue;
+            };
+            let of_attempt = machine
+                .placements
+                .iter_mut()
+                .filter(|p| p.job == job && p.attempt == attempt && p.phase == Phase::Stored);
+            of_attempt.for_each(|p| p.set_phase(Phase::Ready));
+        }
+    }
+
+    /// Whether a machine of the gang is to be taken away before long, so that its tasks should save
+    /// while there is time. One that is not needed much longer may finish.
+    fn leaving_soon(&self, ctx: &Ctx, job: &str, members: &[Member]) -> bool {
+        let Some(work) = self.works.get(job) else {
+            return false;
+        };
+        let stop_s = work.spec.save_s + ctx.set.gang_peer_s + k::WIND_DOWN_MARGIN_S;
+        let last_moment = ctx.now.ms + (stop_s * 1e3) as Ms;
+        let mut machines = members.iter().filter_map(|m| self.machines.get(&m.machine));
+        machines.any(|m| m.notice.is_some_and(|gone_at| last_moment >= gone_at))
+    }
+
+    /// Stops the whole gang. Where every machine of it can be reached its tasks save.
+    pub fn stop_gang(&mut self, ctx: &Ctx, job: &str) {
+        let members = self.members(job);
+        let Some(work) = self.works.get(job) else {
+            return;
+        };
+        let running = work
+            .gang
+            .as_ref()
+            .is_some_and(|g| matches!(g.state, GangState::Running { .. }));
+        let saves = running && work.spec.checkpoint_s > 0.0 && self.all_reachable(ctx, &members);
+        let grace_s = if saves {
+            work.spec.save_s + k::WIND_DOWN_MARGIN_S
+        } else {
+            0.0
+        };
+        log::info!("gang {job} is stopped, {grace_s} s to save");
+        self.stop_members(&members, job, grace_s);
+        self.gangs_changed = true;
+    }
+
+    /// Whether a command to each of these machines would most likely arrive at once. A stop that
+    /// reaches only some of a gang's tasks in time saves nothing.
+    fn all_reachable(&self, ctx: &Ctx, members: &[Member]) -> bool {
+        members.iter().all(|member| {
+            self.machines.get(&member.machine).is_some_and(|m| {
+                let heard = !m.quiet(ctx.now.ms, ctx.set.report_s) && !m.far && m.under_token;
+                heard && m.trusted() && m.do_open.is_none() && m.addr.is_some()
+            })
+        })
+    }
+
+    fn stop_members(&mut self, members: &[Member], job: &str, grace_s: f64) {
+        for member in members.iter().filter(|m| !m.stopping) {
+            let Some(mut machine) = self.machines.edit(&member.machine) else {
+                continue;
+            };
+            let of_gang = machine
+                .placements
+                .iter_mut()
+                .filter(|p| p.job == job && p.present());
+            of_gang.for_each(|p| {
+                p.stop.get_or_insert(grace_s);
+            });
+        }
+    }
+
+    /// One task of a gang was done, so all are: they complete together. The gang counts as one
+    /// observation of its run time, and only if all of the run was seen.
+    pub fn finish_gang(&mut self, now: Ms, job: &str, machine_type: &str) {
+        let Some(work) = self.works.get_mut(job) else {
+            return;
+        };
+        for index in 0..work.spec.tasks {
+            work.done.set(index);
+        }
+        work.done_count = work.spec.tasks;
+        let first_attempt_run = work.gang.as_ref().and_then(|gang| match gang.state {
+            GangState::Running { attempt, since } if gang.attempts == 1 => {
+                let ours = attempt / k::ATTEMPTS_PER_TERM == self.term;
+                ours.then(|| now.saturating_sub(since) as f64 / 1e3)
+            }
+            _ => None,
+        });
+        if let Some(run_s) = first_attempt_run {
+            let spec = work.spec.clone();
+            self.sched.record(&spec, machine_type, run_s);
+        }
+        self.due.insert(job.to_owned());
+    }
+}
+
+impl Work {
+    /// Whether it is a gang that can be placed, as far as its tasks are concerned.
+    pub fn gang_waits(&self) -> bool {
+        let waiting = |g: &Gang| g.state == GangState::Waiting;
+        !self.ending && self.done_count < self.spec.tasks && self.gang.as_ref().is_some_and(waiting)
+    }
+
+    /// How long a waiting gang has waited.
+    fn gang_waited_ms(&self, ctx: &Ctx) -> Ms {
+        let ended_at = self.gang.as_ref().and_then(|g| g.ended_at);
+        let age = ctx.now.wall_ms.saturating_sub(self.at);
+        ended_at.map_or(age, |at| ctx.now.ms.saturating_sub(at))
+    }
+}
+
+#[cfg(test)]
+#[path = "../gang_tests.rs"]
+mod tests;
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -334,6 +334,10 @@
                 self.failed(now, id, &job, index, cause);
                 continue;
             }
+            if w.gang.is_some() {
+                self.finish_gang(now, &job, &kind);
+                continue;
+            }
             if w.done.set(index) {
                 w.done_count += 1;
                 w.take(index);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -159,7 +159,7 @@
     pub machines: Machines,
     pub works: BTreeMap<String, Work>,
     /// Jobs with results or an end to be stored.
-    due: BTreeSet<String>,
+    pub(crate) due: BTreeSet<String>,
     /// Whose results are looked at first, since the last transaction had no room for them.
     results_next: String,
     /// The records that tell of the machines.
@@ -193,6 +193,10 @@
     pub wake: bool,
     /// Nothing was placed before us.
     pub first: bool,
+    /// A task of a gang changed, so that the gang's state may have to.
+    pub gangs_changed: bool,
+    /// When all gangs are looked at again in any case.
+    pub gangs_at: Ms,
 }
 
 /// Why everything on a machine is gone.
@@ -253,6 +257,8 @@
             fleet: Fleet::new(term, now),
             wake: true,
             first: false,
+            gangs_changed: true,
+            gangs_at: now,
         }
     }
 
@@ -299,6 +305,7 @@
             self.watch_machines(ctx);
             self.inspect(ctx);
         }
+        self.advance_gangs(ctx);
         if self.stage == Stage::Active {
             self.schedule(ctx);
             if now >= self.summary_at {
--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -13,6 +13,19 @@
             }
             return true;
         }
+        let attempt = self.new_attempt();
+        self.place_attempt(machine, job, index, attempt)
+    }
+
+    /// A number that no attempt of any leader has had.
+    pub fn new_attempt(&mut self) -> u64 {
+        self.next_attempt += 1;
+        self.next_attempt
+    }
+
+    /// Puts a task on a machine under an attempt that may have other tasks. False: there is no room
+    /// in the record.
+    pub fn place_attempt(&mut self, machine: &str, job: &str, index: u32, attempt: u64) -> bool {
         let Some(shard) = self.shard_for(machine, job, false) else {
             return false;
         };
@@ -22,14 +35,13 @@
         w.take(index);
         w.moved_at = Some(self.now_ms);
         m.shard = Some(shard);
-        self.next_attempt += 1;
-        log::debug!("place {job}/{index}#{} on {machine}", self.next_attempt);
+        log::debug!("place {job}/{index}#{attempt} on {machine}");
         m.placements.push(Placement {
             cpus: w.spec.cpus,
             gpus: w.spec.gpus,
             memory: w.spec.memory_gb,
             team: w.spec.team.clone(),
-            ..Placement::new(job, index, self.next_attempt, Phase::New)
+            ..Placement::new(job, index, attempt, Phase::New)
         });
         m.idle_since = None;
         if let Some(s) = self.shards.get_mut(&shard) {
@@ -80,7 +92,7 @@
     }
 
     /// What the machine's record holds is more than need be.
-    pub(super) fn stale(&mut self, machine: &str) {
+    pub(crate) fn stale(&mut self, machine: &str) {
         let shard = self.machines.get(machine).and_then(|m| m.shard);
         if let Some(s) = shard.and_then(|n| self.shards.get_mut(&n)) {
             s.stored.stale = true;
@@ -90,6 +102,7 @@
     /// A task is proven gone from where it was: it waits again, unless it is elsewhere.
     pub fn back(&mut self, job: &str, index: u32) {
         self.wake = true;
+        self.gangs_changed = true;
         // A task that is held waits already; waiting twice, it would start twice.
         let elsewhere = self.machines.is_present(job, index) || self.machines.is_held(job, index);
         if let (false, Some(w)) = (elsewhere, self.works.get_mut(job)) {
--- a/crates/control/src/leader/silence.rs
+++ b/crates/control/src/leader/silence.rs
@@ -74,7 +74,8 @@
         let urgent = |m: &Machine| {
             m.placements.iter().any(|p| {
                 let work = self.works.get(&p.job).filter(|_| p.present());
-                work.is_some_and(|w| w.urgent())
+                // A gang can't go on elsewhere until each of its tasks is proven gone.
+                work.is_some_and(|w| w.urgent() || w.gang.is_some())
             })
         };
         // Where unsent placements are to be taken back: all of them, or those of ended jobs.
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -437,11 +437,7 @@
             match item {
                 Item::Shard { new, .. } => {
                     for on in new {
-                        self.mark(&on, |p| {
-                            if p.phase == Phase::New {
-                                p.set_phase(Phase::Ready);
-                            }
-                        });
+                        self.placement_stored(&on);
                     }
                 }
                 // Something may have gone into it since.
@@ -484,12 +480,28 @@
         }
     }
 
-    /// Changes a placement, if it is still there.
-    fn mark(&mut self, (machine, attempt): &On, change: impl FnOnce(&mut Placement)) {
-        if let Some(mut m) = self.machines.edit(machine) {
-            if let Some(p) = m.placements.iter_mut().find(|p| p.attempt == *attempt) {
-                change(p);
+    /// A single task may be started now; one of a gang waits for the gang's other placements.
+    fn placement_stored(&mut self, on: &On) {
+        let works = &self.works;
+        let Some(mut m) = self.machines.edit(&on.0) else {
+            return;
+        };
+        for p in m.placements.iter_mut() {
+            if p.attempt != on.1 || p.phase != Phase::New {
+                continue;
             }
+            let in_gang = works.get(&p.job).is_some_and(|w| w.gang.is_some());
+            p.set_phase(if in_gang { Phase::Stored } else { Phase::Ready });
+        }
+        drop(m);
+        self.gangs_changed = true;
+    }
+
+    /// Changes an attempt's placements, as far as they are still there.
+    fn mark(&mut self, (machine, attempt): &On, change: impl Fn(&mut Placement)) {
+        if let Some(mut m) = self.machines.edit(machine) {
+            let of_attempt = m.placements.iter_mut().filter(|p| p.attempt == *attempt);
+            of_attempt.for_each(change);
         }
     }
 
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -1,6 +1,8 @@
 //! What the leader holds about machines, the tasks that may be on them, and the jobs' work.
 use crate::api::Ms;
+use crate::gang::Gang;
 use crate::records::{task_name, Bitmap};
+use crate::resources::Resources;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::ops::{Deref, DerefMut};
@@ -86,6 +88,15 @@
         task_name(&self.job, self.index)
     }
 
+    /// What it takes of its machine.
+    pub fn takes(&self) -> Resources {
+        Resources {
+            cpus: self.cpus,
+            gpus: self.gpus,
+            memory_gb: self.memory,
+        }
+    }
+
     /// No `run` has gone out for it: it may simply be taken back.
     pub fn unsent(&self) -> bool {
         matches!(self.phase, Phase::New | Phase::Stored | Phase::Ready)
@@ -777,7 +788,7 @@
     pub spec: JobSpec,
     /// Time of day of the submission, ms.
     pub at: u64,
-    /// Waiting tasks; the lowest number starts first.
+    /// Waiting tasks; the lowest number starts first. A gang's are never here, see `gang`.
     pub pending: BTreeSet<u32>,
     /// Of the waiting tasks, those dropped by the pruner: they run in leftover room.
     pub dropped: BTreeSet<u32>,
@@ -795,12 +806,17 @@
     pub moved_at: Option<Ms>,
     /// Tasks that are to be placed before other work, since it waited for long.
     pub owed: usize,
+    /// Its tasks start and end together.
+    pub gang: Option<Gang>,
 }
 
 impl Work {
     pub fn new(spec: JobSpec, at: u64) -> Work {
+        let gang = (spec.kind == JobKind::Gang).then(Gang::default);
+        let single = if gang.is_some() { 0 } else { spec.tasks };
         Work {
-            pending: (0..spec.tasks).collect(),
+            pending: (0..single).collect(),
+            gang,
             spec,
             at,
             dropped: BTreeSet::new(),
@@ -833,7 +849,7 @@
     }
 
     pub fn give_back(&mut self, index: u32) {
-        if !self.done.get(index) {
+        if self.gang.is_none() && !self.done.get(index) {
             self.pending.insert(index);
         }
     }
--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -21,7 +21,7 @@
 
     /// Whether every controller is known to run a release that can read a gang's record.
     fn gangs_open(&self) -> bool {
-        false
+        true
     }
 
     pub(super) fn request(&mut self, id: u64, request: Request) {
--- a/crates/control/src/overdue.rs
+++ b/crates/control/src/overdue.rs
@@ -203,11 +203,13 @@
     pub fn is_kept(&self, machine: &str, job: &str) -> bool {
         let mut kept = self.sched.kept.iter();
         kept.any(|(j, k)| j != job && matches!(k, Kept::Machine(m) if m == machine))
+            || self.is_reserved(machine, job)
     }
 
     /// Whether what its team may still take is kept for another job.
     pub fn team_kept(&self, spec: &JobSpec) -> bool {
         let mut kept = self.sched.kept.iter();
         kept.any(|(j, k)| *j != spec.id && matches!(k, Kept::Team(t) if *t == spec.team))
+            || self.is_team_reserved(&spec.team, &spec.id)
     }
 }
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -3,6 +3,7 @@
 //! threshold waits; held tasks below the drop threshold leave their queue while the toggle is
 //! on. Everything else fills leftover room first fit.
 use crate::api::Ms;
+use crate::gang::Reservation;
 use crate::leader::{immediate, zone_allows, Ctx, Leader};
 use crate::ledger::{Life, Machine, Phase, Work};
 use crate::overdue::Kept;
@@ -26,6 +27,8 @@
     observed: HashMap<String, (u32, f64)>,
     /// What is kept for jobs that waited for long.
     pub kept: HashMap<String, Kept>,
+    /// What is reserved for gangs that wait.
+    pub reservations: HashMap<String, Reservation>,
     /// Where lesser work is being stopped for urgent jobs.
     pub making: Vec<Making>,
     /// Per class: how many jobs ended, and the sum of the logarithms of run over estimate.
@@ -290,6 +293,7 @@
             self.sched.place_at = now + k::PLACE_MS;
             self.wake = false;
             self.place_now(ctx, true);
+            self.place_gangs(ctx);
             let holding: Vec<String> = self
                 .machines
                 .values()
@@ -303,6 +307,8 @@
         if now >= self.sched.map_at {
             self.sched.map_at = now + ctx.set.tuning.map_ms;
             self.place_overdue(ctx);
+            self.reserve_for_gangs(ctx);
+            self.map_gangs(ctx);
             self.map(ctx);
             self.place_now(ctx, false);
             self.place_put_off(ctx);
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -66,6 +66,10 @@
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
+    /// A gang's task exits if its gang is not complete after so long, s.
+    pub gang_wait_s: f64,
+    /// A gang's tasks notice the loss of one within so long, s; stops must reach all within it.
+    pub gang_peer_s: f64,
     pub state_rps: f64,
     pub state_write_rps: f64,
     pub value_bytes: usize,
--- a/crates/stonegwd/src/settings.rs
+++ b/crates/stonegwd/src/settings.rs
@@ -2,6 +2,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
+use stonegw_constants::{GANG_PEER_S, GANG_WAIT_S, LEAST_GANG_S};
 use stonegw_control::settings::{Promise, Promised, Settings, Team, Tuning};
 
 pub struct Loaded {
@@ -77,6 +78,8 @@
     report_s: f64,
     lease_s: f64,
     cancel_s: f64,
+    gang_wait_s: Option<f64>,
+    gang_peer_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -135,6 +138,22 @@
     }
 }
 
+/// A time of the workers that platforms without gangs do not state.
+fn gang_time(name: &str, stated: Option<f64>, default: f64) -> Result<f64, String> {
+    match stated {
+        Some(seconds) => within(
+            &format!("deployment.workers.{name}"),
+            seconds,
+            LEAST_GANG_S,
+            86_400.0,
+        ),
+        None => {
+            log::info!("deployment.workers.{name} is not stated; {default} s is assumed");
+            Ok(default)
+        }
+    }
+}
+
 pub fn load(config: &Path, tuning: Option<&Path>) -> Result<Loaded, String> {
     let read = |p: &Path| std::fs::read_to_string(p).map_err(|e| format!("{}: {e}", p.display()));
     let tuning = match tuning {
@@ -247,6 +266,8 @@
             0.5,
             86_400.0,
         )?,
+        gang_wait_s: gang_time("gang_wait_s", d.workers.gang_wait_s, GANG_WAIT_S)?,
+        gang_peer_s: gang_time("gang_peer_s", d.workers.gang_peer_s, GANG_PEER_S)?,
         state_rps: within("deployment.state.rps", d.state.rps, 1.0, 1e6)?,
         state_write_rps: within("deployment.state.write_rps", d.state.write_rps, 1.0, 1e6)?,
         value_bytes: (within("deployment.state.value_kb", d.state.value_kb, 1.0, 1e6)? * 1024.0)
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -273,6 +273,8 @@
                 report_s: REPORT_MS as f64 / 1e3,
                 lease_s: LEASE_MS as f64 / 1e3,
                 cancel_s: CANCEL_MS as f64 / 1e3,
+                gang_wait_s: 35.0,
+                gang_peer_s: 8.0,
                 state_rps: 150.0,
                 state_write_rps: 60.0,
                 value_bytes: 8 * 1024,
