--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -335,14 +335,19 @@
 /// ms that a gang waits for leftover room before machines are reserved for it: as long as it takes
 /// one mapping to pass it over.
 pub const GANG_RESERVE_MS: u64 = 1_000;
+/// ms for which urgent work leaves room alone that is reserved for a gang: as long as it takes to
+/// push lesser work aside elsewhere.
+pub const RESERVED_WAIT_MS: u64 = 2_500;
 /// ms, the soonest that a running task is expected to end: one that is overdue may end any moment.
 pub const GANG_SOONEST_END_MS: u64 = 1_000;
 /// ms of run time that each task of a gang loses by a stop beside its progress: exits, another
 /// round of placing, and waiting for the last image.
-pub const GANG_RESTART_MS: u64 = 5_000;
+pub const GANG_RESTART_MS: u64 = 30_000;
 
 // ---- Fleet ------------------------------------------------------------------------------
 
+/// Failed starts of a job after which nothing is rented for it: most likely it fails everywhere.
+pub const RENT_FAILURES: u32 = 8;
 /// ms between fleet decisions.
 pub const FLEET_MS: u64 = 2_000;
 /// ms between machine lists.
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -461,7 +461,7 @@
                 self.fleet.usual = Some(s.clone());
             }
             let mut n = w.pending.len() + self.machines.held_of(id);
-            if n == 0 || w.ending || w.failures > 8 {
+            if n == 0 || w.ending || w.failures > k::RENT_FAILURES {
                 continue;
             }
             if let Some(t) = ctx.set.team(&s.team) {
@@ -497,6 +497,9 @@
                 wants.push((s.priority, due, s.clone(), n));
             }
         }
+        for (spec, tasks) in self.gangs_to_rent_for(ctx, &bins) {
+            wants.push((spec.priority, 0.0, spec, tasks));
+        }
         wants.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)));
         let mut hires: HashMap<(String, String, bool), u32> = HashMap::new();
         // Spare room for urgent services comes before lesser work, which may use it meanwhile.
@@ -586,6 +589,38 @@
         }
     }
 
+    /// Gangs that wait and their tasks. One that needs a single zone gets all its room in the zone
+    /// that has most of it.
+    fn gangs_to_rent_for(&self, ctx: &Ctx, bins: &[Bin]) -> Vec<(JobSpec, usize)> {
+        let mut wanted = vec![];
+        for job in self.waiting_gangs(ctx) {
+            let Some(work) = self.works.get(&job) else {
+                continue;
+            };
+            if work.failures > k::RENT_FAILURES || !self.allows_whole(ctx, work) {
+                continue;
+            }
+            let mut spec = work.spec.clone();
+            if spec.one_zone && spec.zone.is_none() {
+                spec.zone = self.roomiest_zone(&spec, bins);
+            }
+            wanted.push((spec, work.spec.tasks as usize));
+        }
+        wanted
+    }
+
+    fn roomiest_zone(&self, spec: &JobSpec, bins: &[Bin]) -> Option<String> {
+        let zones = self.catalog.types.iter().flat_map(|t| &t.zones);
+        let slots = |zone: &String| -> u32 {
+            let suits = |b: &&Bin| b.zone == *zone && allowed(spec, &b.kind, &b.zone, b.spot);
+            bins.iter()
+                .filter(suits)
+                .map(|b| rooms(b.free, spec).min(spec.tasks))
+                .sum()
+        };
+        zones.max_by_key(|zone| slots(zone)).cloned()
+    }
+
     /// The cpus that deadline work may use, with the seconds until they are up: all but those of
     /// deadline-free tasks.
     fn dated_cpus(&self, bins: &[Bin]) -> Vec<(f64, f64)> {
--- a/crates/control/src/gang/place.rs
+++ b/crates/control/src/gang/place.rs
@@ -62,7 +62,7 @@
 
 impl Leader {
     /// Gangs that wait, those of the highest rank first, then the longest accepted.
-    pub(super) fn waiting_gangs(&self, ctx: &Ctx) -> Vec<String> {
+    pub(crate) fn waiting_gangs(&self, ctx: &Ctx) -> Vec<String> {
         let waits = |w: &Work| w.gang_waits() && ctx.now.ms >= w.retry_at;
         let waiting = self.works.iter().filter(|(_, w)| waits(w));
         let mut order: Vec<(Reverse<Priority>, u64, &String)> = waiting
@@ -215,9 +215,8 @@
         let spec = &work.spec;
         let machine_type = self.kind(&m.kind)?;
         let slots = self.free(m)?.times(&Resources::of_task(spec));
-        let queue_first = !m.held.is_empty()
-            && !work.urgent()
-            && work.gang_waited_ms(ctx) < k::PUT_OFF_QUEUED_MS;
+        let queue_first =
+            !m.held.is_empty() && !work.urgent() && work.gang_waited_ms(ctx) < k::PUT_OFF_QUEUED_MS;
         if slots == 0 || queue_first || !self.usable(ctx, m, work) {
             return None;
         }
@@ -234,7 +233,7 @@
     }
 
     /// Whether the team's limit leaves room for all tasks of the gang.
-    pub(super) fn allows_whole(&self, ctx: &Ctx, work: &Work) -> bool {
+    pub(crate) fn allows_whole(&self, ctx: &Ctx, work: &Work) -> bool {
         let others = f64::from(work.spec.tasks.saturating_sub(1));
         let extra = (others * work.spec.cpus, others * work.spec.gpus);
         self.allows(ctx, &work.spec, extra)
@@ -333,4 +332,3 @@
     }
     None
 }
-
--- a/crates/control/src/gang/reserve.rs
+++ b/crates/control/src/gang/reserve.rs
@@ -65,15 +65,9 @@
             self.sched.reservations.insert(job.to_owned(), reservation);
             return;
         }
-        if let Some(Reservation::Machines(kept)) = self.sched.reservations.get(job) {
-            let usable = |id: &String| {
-                let machine = self.machines.get(id);
-                machine.is_some_and(|m| self.usable(ctx, m, work))
-            };
-            if kept.iter().all(usable) {
-                zones_taken.extend(self.zones_of_machines(kept));
-                return;
-            }
+        if let Some(kept) = self.suitable_reservation(ctx, job) {
+            zones_taken.extend(self.zones_of_machines(&kept));
+            return;
         }
         self.sched.reservations.remove(job);
         let Some(machines) = self.machines_to_reserve(ctx, job, zones_taken) else {
@@ -88,6 +82,22 @@
         self.sched.reservations.insert(job.to_owned(), reservation);
     }
 
+    /// The machines reserved for a gang, if they will have room for all of it. More urgent work may
+    /// have taken some of that.
+    fn suitable_reservation(&self, ctx: &Ctx, job: &str) -> Option<BTreeSet<String>> {
+        let Some(Reservation::Machines(kept)) = self.sched.reservations.get(job) else {
+            return None;
+        };
+        let work = self.works.get(job)?;
+        let machines = kept.iter().filter_map(|id| self.machines.get(id));
+        let usable = machines.filter(|m| self.usable(ctx, m, work));
+        let no_run_times = HashMap::new();
+        let slots: usize = usable
+            .map(|m| self.slots_to_come(ctx.now.ms, m, work, &no_run_times).len())
+            .sum();
+        (slots >= work.spec.tasks as usize).then(|| kept.clone())
+    }
+
     fn zones_of_machines(&self, ids: &BTreeSet<String>) -> BTreeSet<String> {
         let machines = ids.iter().filter_map(|id| self.machines.get(id));
         machines.map(|m| m.zone.clone()).collect()
@@ -109,7 +119,11 @@
             if taken || !self.usable(ctx, m, work) {
                 continue;
             }
-            let zone = if work.spec.one_zone { m.zone.as_str() } else { "" };
+            let zone = if work.spec.one_zone {
+                m.zone.as_str()
+            } else {
+                ""
+            };
             let slots = by_zone.entry(zone).or_default();
             slots.extend(self.slots_to_come(ctx.now.ms, m, work, &run_ms));
         }
@@ -158,7 +172,10 @@
                 memory_gb: p.memory,
             };
             let ended = p.stop.is_some() || !self.works.contains_key(&p.job);
-            let stays = self.works.get(&p.job).is_some_and(|w| w.spec.estimate_s <= 0.0);
+            let stays = self
+                .works
+                .get(&p.job)
+                .is_some_and(|w| w.spec.estimate_s <= 0.0);
             if ended {
                 ends.push((0, taken));
             } else if !stays {
@@ -209,7 +226,11 @@
             if !self.usable(ctx, m, work) || self.is_kept(&m.id, job) {
                 continue;
             }
-            let zone = if work.spec.one_zone { m.zone.as_str() } else { "" };
+            let zone = if work.spec.one_zone {
+                m.zone.as_str()
+            } else {
+                ""
+            };
             let offers = self.room_offers(ctx, m, &wanted, &claims, &used);
             by_zone.entry(zone).or_default().extend(offers);
         }
@@ -259,4 +280,3 @@
     let cost = offers.iter().map(|o| o.cost).sum();
     Some((cost, offers))
 }
-
--- a/crates/control/src/preempt.rs
+++ b/crates/control/src/preempt.rs
@@ -128,7 +128,8 @@
         let used = self.kept_by_teams(ctx, guarantee);
         let mut best: Option<RoomOffer> = None;
         for m in self.machines.values() {
-            if !self.usable(ctx, m, work) || guarantee && self.is_kept(&m.id, job) {
+            let kept = guarantee && self.is_kept(&m.id, job) || self.is_reserved(&m.id, job);
+            if kept || !self.usable(ctx, m, work) {
                 continue;
             }
             for offer in self.room_offers(ctx, m, &wanted, claimed, &used) {
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -433,11 +433,15 @@
             if !self.allows(ctx, spec, (0.0, 0.0)) || !urgent && self.team_kept(spec) {
                 return true;
             }
+            // Urgent work first pushes lesser work aside elsewhere: a gang's room takes long to gather.
+            let age = ctx.now.wall_ms.saturating_sub(w.at);
+            let spares_gangs = urgent && age < k::RESERVED_WAIT_MS;
             let takes = |m: &Machine| {
                 (m.held.is_empty() || urgent)
                     && self.room(m, spec)
                     && self.usable(ctx, m, w)
                     && (urgent || !self.is_kept(&m.id, job) && !self.is_made(ctx.now.ms, &m.id))
+                    && !(spares_gangs && self.is_reserved(&m.id, job))
             };
             // Once one of its tasks is there, a machine is the best for the next as well.
             let same = target
