--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -335,6 +335,10 @@
 /// ms that a gang waits for leftover room before machines are reserved for it: as long as it takes
 /// one mapping to pass it over.
 pub const GANG_RESERVE_MS: u64 = 1_000;
+/// ms for which room is reserved for a gang at most, and the pause after: smaller work must not wait
+/// 90 s beside room that is kept.
+pub const GANG_RESERVED_MAX_MS: u64 = 45_000;
+pub const GANG_RESERVE_PAUSE_MS: u64 = 15_000;
 /// ms for which urgent work leaves room alone that is reserved for a gang: as long as it takes to
 /// push lesser work aside elsewhere.
 pub const RESERVED_WAIT_MS: u64 = 2_500;
--- a/crates/control/src/gang/mod.rs
+++ b/crates/control/src/gang/mod.rs
@@ -46,6 +46,10 @@
     ended_at: Option<Ms>,
     /// Attempts that this leader began.
     attempts: u32,
+    /// Since when room is reserved for it.
+    reserved_since: Option<Ms>,
+    /// No room is reserved for it before.
+    reserve_after: Ms,
 }
 
 impl Default for Gang {
@@ -55,6 +59,8 @@
             dropped: false,
             ended_at: None,
             attempts: 0,
+            reserved_since: None,
+            reserve_after: 0,
         }
     }
 }
@@ -168,7 +174,7 @@
                 }
             }
             GangState::Running { .. } => {
-                if self.leaving_soon(ctx, job, &members) {
+                if self.saves(job) && self.leaving_soon(ctx, job, &members) {
                     self.stop_gang(ctx, job);
                 }
             }
@@ -190,8 +196,7 @@
         }
     }
 
-    /// Whether a machine of the gang is to be taken away before long, so that its tasks should save
-    /// while there is time. One that is not needed much longer may finish.
+    /// Whether a machine of the gang is taken away so soon that its tasks have to save now.
     fn leaving_soon(&self, ctx: &Ctx, job: &str, members: &[Member]) -> bool {
         let Some(work) = self.works.get(job) else {
             return false;
@@ -202,6 +207,11 @@
         machines.any(|m| m.notice.is_some_and(|gone_at| last_moment >= gone_at))
     }
 
+    fn saves(&self, job: &str) -> bool {
+        let work = self.works.get(job);
+        work.is_some_and(|w| w.spec.checkpoint_s > 0.0)
+    }
+
     /// Stops the whole gang. Where every machine of it can be reached its tasks save.
     pub fn stop_gang(&mut self, ctx: &Ctx, job: &str) {
         let members = self.members(job);
@@ -212,7 +222,7 @@
             .gang
             .as_ref()
             .is_some_and(|g| matches!(g.state, GangState::Running { .. }));
-        let saves = running && work.spec.checkpoint_s > 0.0 && self.all_reachable(ctx, &members);
+        let saves = running && self.saves(job) && self.all_reachable(ctx, &members);
         let grace_s = if saves {
             work.spec.save_s + k::WIND_DOWN_MARGIN_S
         } else {
--- a/crates/control/src/gang/reserve.rs
+++ b/crates/control/src/gang/reserve.rs
@@ -12,6 +12,7 @@
 use crate::resources::Resources;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use stonegw_constants as k;
+use stonegw_wire::msg::JobKind;
 
 /// What is kept for a gang that waits.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,13 +57,18 @@
     }
 
     fn reserve(&mut self, ctx: &Ctx, job: &str, zones_taken: &mut BTreeSet<String>) {
+        if !self.may_reserve(ctx.now.ms, job) {
+            self.sched.reservations.remove(job);
+            return;
+        }
         let Some(work) = self.works.get(job) else {
             return;
         };
         if !self.allows_whole(ctx, work) {
-            let team = work.spec.team.clone();
-            let reservation = Reservation::Team(team);
-            self.sched.reservations.insert(job.to_owned(), reservation);
+            if self.limit_will_allow(ctx, work) {
+                let reservation = Reservation::Team(work.spec.team.clone());
+                self.sched.reservations.insert(job.to_owned(), reservation);
+            }
             return;
         }
         if let Some(kept) = self.suitable_reservation(ctx, job) {
@@ -82,6 +88,35 @@
         self.sched.reservations.insert(job.to_owned(), reservation);
     }
 
+    /// Other work must not wait for long beside reserved room, so a reservation that has not led to a
+    /// start in time pauses.
+    fn may_reserve(&mut self, now: Ms, job: &str) -> bool {
+        let reserved = self.sched.reservations.contains_key(job);
+        let gang = self.works.get_mut(job).and_then(|w| w.gang.as_mut());
+        let Some(gang) = gang else {
+            return false;
+        };
+        if !reserved {
+            gang.reserved_since = None;
+        }
+        let since = *gang.reserved_since.get_or_insert(now);
+        if now >= since + k::GANG_RESERVED_MAX_MS {
+            gang.reserve_after = now + k::GANG_RESERVE_PAUSE_MS;
+        }
+        now >= gang.reserve_after
+    }
+
+    /// Whether the team's limit has room for the gang once all but the team's services has ended.
+    fn limit_will_allow(&self, ctx: &Ctx, work: &Work) -> bool {
+        let Some(team) = ctx.set.team(&work.spec.team) else {
+            return false;
+        };
+        let of_team = |w: &&Work| w.spec.team == team.name && w.spec.kind == JobKind::Service;
+        let whole = |w: &Work| f64::from(w.spec.tasks) * w.spec.cpus;
+        let services: f64 = self.works.values().filter(of_team).map(whole).sum();
+        services + whole(work) <= team.cpus_max + k::EPSILON
+    }
+
     /// The machines reserved for a gang, if they will have room for all of it. More urgent work may
     /// have taken some of that.
     fn suitable_reservation(&self, ctx: &Ctx, job: &str) -> Option<BTreeSet<String>> {
@@ -140,7 +175,8 @@
                 soonest = Some((last.free_in_ms, machines));
             }
         }
-        soonest.map(|(_, machines)| machines)
+        let in_time = soonest.filter(|(at, _)| *at <= k::GANG_RESERVED_MAX_MS);
+        in_time.map(|(_, machines)| machines)
     }
 
     /// How long a task of each job runs on average, ms.
