--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -156,6 +156,18 @@
 /// One in so many changes of a transaction is open to results before placements.
 pub const RESULTS_SHARE: usize = 4;
 
+// ---- Rolling upgrade --------------------------------------------------------------------
+
+/// What this program can read and write beyond earlier ones; counts up by one when something new
+/// is stored or sent. 2: gangs. The release before it stored no such number.
+pub const RELEASE: u64 = 2;
+/// ms between two reads of the other nodes' releases until all have this one: an upgrade takes a
+/// minute or so, and users whose gangs wait come again after seconds.
+pub const GATE_READ_MS: u64 = 2_000;
+/// Part of a node's requests to the state service that these reads take at most: they come less
+/// often where there are few.
+pub const GATE_READ_PART: f64 = 0.05;
+
 // ---- Leadership -------------------------------------------------------------------------
 
 /// ms the leader key outlives its last renewal. Long enough for lost packets and late timers
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -20,6 +20,7 @@
 
 mod coverage;
 mod elect;
+mod gate;
 mod relay;
 mod users;
 
@@ -68,6 +69,8 @@
     Grant,
     Claim { lease: u64 },
     Release,
+    ReadReleases,
+    RecordRelease,
     Catalog,
     Leader(crate::leader::Call),
 }
@@ -178,6 +181,7 @@
     state_failed_at: Option<Ms>,
     peers: Vec<Peer>,
     coverage: coverage::Coverage,
+    gate: gate::Gate,
     hello_at: Ms,
     /// Reports on their way to the leader: who waits, until when, and the report.
     relays: HashMap<u64, (u64, Ms, Report)>,
@@ -216,6 +220,7 @@
         let nonce = rng.random::<u64>() >> 12;
         let peers: Vec<Peer> = set.peers.iter().map(|_| Peer::default()).collect();
         let coverage = coverage::Coverage::new(peers.len());
+        let gate = gate::Gate::new(&set.node, &set.peers);
         let mut node = Node {
             nonce,
             rng,
@@ -252,6 +257,7 @@
             state_failed_at: None,
             peers,
             coverage,
+            gate,
             hello_at: 0,
             relays: HashMap::new(),
             next_relay: 0,
@@ -328,6 +334,8 @@
     fn advance(&mut self) {
         let now = self.now.ms;
         self.advance_sync();
+        // Before the users' requests, which would leave a small budget nothing for it.
+        self.advance_gate();
         self.advance_role();
         self.advance_front();
         self.advance_far();
@@ -499,6 +507,8 @@
                 }),
             },
             Call::Claim { lease } => self.claimed(lease, result),
+            Call::ReadReleases => self.releases_read(result),
+            Call::RecordRelease => self.release_recorded(result),
             Call::Release | Call::Far => {}
             Call::Catalog | Call::Leader(_) => {}
         }
--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -19,11 +19,6 @@
             && self.now.ms.saturating_sub(self.state_ok_at) > k::STATE_DOWN_MS
     }
 
-    /// Whether every controller is known to run a release that can read a gang's record.
-    fn gangs_open(&self) -> bool {
-        false
-    }
-
     pub(super) fn request(&mut self, id: u64, request: Request) {
         let path = request.path.split('?').next().unwrap_or("");
         let method = request.method.as_str();
@@ -127,10 +122,6 @@
                 "machine types not known yet",
             );
         };
-        if spec.kind == JobKind::Gang && !self.gangs_open() {
-            let why = "gangs are taken once every controller runs a release that knows them";
-            return self.out.error(id, 503, Some(k::RETRY_GATE_S), why);
-        }
         let verdict = can_run(spec, &self.set, catalog);
         if self.sync != Sync::Live || self.state_out() {
             // Types and limits are alike on all nodes: none can have taken what never runs.
@@ -147,11 +138,21 @@
             }
             Ok(()) => {
                 let p = p(ask);
-                self.to_store.push(p);
+                self.store_submission(p);
             }
         }
     }
 
+    /// Queues a submission that can run; a gang only once the gate is open.
+    fn store_submission(&mut self, p: Pending) {
+        let gang = matches!(&p.ask, Ask::Submit(spec) if spec.kind == JobKind::Gang);
+        if gang && !self.gangs_open() {
+            let why = "gangs are taken once every controller runs a release that knows them";
+            return self.out.error(p.id, 503, Some(k::RETRY_GATE_S), why);
+        }
+        self.to_store.push(p);
+    }
+
     pub(super) fn advance_front(&mut self) {
         let now = self.now.ms;
         for list in [&mut self.waiting, &mut self.to_store] {
@@ -356,7 +357,7 @@
                     None => return self.refuse(p.id),
                 };
                 match verdict {
-                    Ok(()) => self.to_store.push(p),
+                    Ok(()) => self.store_submission(p),
                     Err(why) => self.out.error(p.id, 422, None, &why),
                 }
             }
--- a/crates/control/src/records.rs
+++ b/crates/control/src/records.rs
@@ -7,6 +7,7 @@
 //! | `c/r/<node>/<slot>` | a node that can't reach the leader | machines' reports, handed on |
 //! | `d/<job>/<chunk>` | the leader | finished tasks of one chunk, as a bitmap |
 //! | `m/<number>` | the leader | what may be on a group of machines |
+//! | `v/<node>` | that node | the release that it runs; earlier releases never read it |
 use base64::{engine::general_purpose::STANDARD_NO_PAD, Engine};
 use serde::{Deserialize, Serialize};
 use stonegw_wire::msg::{JobSpec, Report};
@@ -17,6 +18,7 @@
 pub const FAR: &str = "c/r/";
 pub const DONE: &str = "d/";
 pub const MACHINES: &str = "m/";
+pub const RELEASES: &str = "v/";
 
 pub fn job_key(job: &str) -> String {
     format!("{JOBS}{job}")
@@ -31,6 +33,10 @@
     format!("{MACHINES}{shard}")
 }
 
+pub fn release_key(node: &str) -> String {
+    format!("{RELEASES}{node}")
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum End {
@@ -140,7 +146,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TaskRow(pub usize, pub u32, pub u64);
 
-/// Anything the leader writes.
+/// The release that a node runs. Later releases must keep this field: nodes of this one read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleaseRecord {
+    pub release: u64,
+}
+/// The name of that field.
+pub const RELEASE_FIELD: &str = "release";
+
+/// Anything that is written.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Value {
@@ -149,6 +163,7 @@
     Shard(ShardRecord),
     Done(DoneRecord),
     Far(Box<FarRecord>),
+    Release(ReleaseRecord),
 }
 
 /// Which tasks are done.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Units a second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     pub fn level(&mut self, now: u64) -> f64 {
         let passed = now.saturating_sub(self.at) as f64 / 1e3;
         self.level = (self.level + passed * self.rate).min(self.burst);
