--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -21,6 +21,8 @@
         };
         w.take(index);
         w.moved_at = Some(self.now_ms);
+        // Also a start out of a machine's queue is one that was owed: else room stays kept for it.
+        w.owed = w.owed.saturating_sub(1);
         m.shard = Some(shard);
         self.next_attempt += 1;
         log::debug!("place {job}/{index}#{} on {machine}", self.next_attempt);
--- a/crates/control/src/overdue.rs
+++ b/crates/control/src/overdue.rs
@@ -150,11 +150,7 @@
             .min_by_key(|m| self.first_fit(m, &spec))
             .map(|m| m.id.clone());
         if let Some(id) = fit {
-            let placed = self.place(&id, job, index);
-            if let (true, Some(w)) = (placed, self.works.get_mut(job)) {
-                w.owed -= 1;
-            }
-            return placed;
+            return self.place(&id, job, index);
         }
         let usable = |id: &str| {
             self.machines
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -20,6 +20,19 @@
     if grep -q "BROKEN $2" <<<"$out" || { [ "$2" = expect ] && grep -q "panicked" <<<"$out"; }; then echo "ok     $1 breaks $2 without its guard"
     else echo "ALIVE  $1 does not break $2"; tail -5 <<<"$out"; bad=1; fi
 }
+unit_mutant() { # crate, test, file, perl substitution
+    rm -rf "$copy/crates"
+    cp -r "$root/crates" "$root/Cargo.toml" "$root/Cargo.lock" "$copy/"
+    perl -0pi -e "$4" "$copy/crates/$1/src/$3"
+    if cmp -s "$copy/crates/$1/src/$3" "$root/crates/$1/src/$3"; then
+        echo "STALE  $2: the guard was not found in $3"; bad=1; return
+    fi
+    package="stonegw-$1"
+    [ "$1" = stonegwd ] && package=stonegwd
+    out="$(cd "$copy" && CARGO_TARGET_DIR="$copy/target" cargo test -q --locked -p "$package" "$2" 2>&1 || true)"
+    if grep -q "panicked" <<<"$out"; then echo "ok     $2 fails without its guard"
+    else echo "ALIVE  $2 passes without its guard"; tail -5 <<<"$out"; bad=1; fi
+}
 mutant run_waits_for_store ran_twice "leader/place.rs" 's/self\.next_attempt, Phase::New/self.next_attempt, Phase::Ready/'
 mutant old_session_report ran_twice "leader/place.rs" 's/if unsent \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if unsent/'
 mutant late_direct_command ran_twice "leader/command.rs" 's/settled && beat && !open && may_clear\(now, p, cause\)/settled \&\& beat/'
@@ -71,4 +84,5 @@
 mutant put_off_beside_room waits_beside_room "schedule.rs" 's/self\.place_put_off\(ctx\);/let _ = ctx;/'
 mutant waits_in_a_queue waits_beside_room "schedule.rs" 's/self\.place_put_off\(ctx\);/let _ = ctx;/'
 mutant doubted_machine waits_beside_room "leader/silence.rs" 's/filter\(\|m\| !m\.trusted\(\)/filter(|m| m.deaf()/'
+mutant kept_room_beside_work waits_beside_room "leader/place.rs" 's/w\.owed = w\.owed\.saturating_sub\(1\);//'
 exit $bad
