--- a/crates/stonegwd/src/settings.rs
+++ b/crates/stonegwd/src/settings.rs
@@ -85,6 +85,24 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: usize,
+    next: Option<NextState>,
+}
+
+/// Limits that the state service will have from a moment that nobody announces.
+#[derive(Deserialize)]
+struct NextState {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
+}
+
+/// The limits that we keep to, checked.
+struct StateLimits {
+    rps: f64,
+    write_rps: f64,
+    value_bytes: usize,
+    txn_ops: usize,
 }
 
 #[derive(Deserialize)]
@@ -135,6 +153,45 @@
     }
 }
 
+/// A limit and the one that may follow it: the lower of both holds from the start, since the moment
+/// of the change is not known.
+fn lower<T: PartialOrd + Copy>(
+    field: &str,
+    now: T,
+    next: Option<T>,
+    check: impl Fn(&str, T) -> Result<T, String>,
+) -> Result<T, String> {
+    let now = check(&format!("deployment.state.{field}"), now)?;
+    let Some(next) = next else {
+        return Ok(now);
+    };
+    let next = check(&format!("deployment.state.next.{field}"), next)?;
+    Ok(if next < now { next } else { now })
+}
+
+fn transaction_size(field: &str, writes: usize) -> Result<usize, String> {
+    if (1..=10_000).contains(&writes) {
+        Ok(writes)
+    } else {
+        Err(format!("{field}: must be from 1 to 10000"))
+    }
+}
+
+fn state_limits(state: &State) -> Result<StateLimits, String> {
+    let rate = |field: &str, value| within(field, value, 1.0, 1e6);
+    let next = state.next.as_ref();
+    let next_kb = next.and_then(|n| n.value_kb);
+    let value_kb = lower("value_kb", state.value_kb, next_kb, rate)?;
+    let next_ops = next.and_then(|n| n.txn_ops);
+    let next_writes = next.and_then(|n| n.write_rps);
+    Ok(StateLimits {
+        rps: lower("rps", state.rps, next.and_then(|n| n.rps), rate)?,
+        write_rps: lower("write_rps", state.write_rps, next_writes, rate)?,
+        value_bytes: (value_kb * 1024.0) as usize,
+        txn_ops: lower("txn_ops", state.txn_ops, next_ops, transaction_size)?,
+    })
+}
+
 pub fn load(config: &Path, tuning: Option<&Path>) -> Result<Loaded, String> {
     let read = |p: &Path| std::fs::read_to_string(p).map_err(|e| format!("{}: {e}", p.display()));
     let tuning = match tuning {
@@ -217,9 +274,7 @@
         }
     }
     let d = &p.deployment;
-    if d.state.txn_ops == 0 || d.state.txn_ops > 10_000 {
-        return Err("deployment.state.txn_ops: must be from 1 to 10000".into());
-    }
+    let state = state_limits(&d.state)?;
     address("external.cloud", &p.external.cloud)?;
     address("external.state", &p.external.state)?;
     let core = Settings {
@@ -247,11 +302,10 @@
             0.5,
             86_400.0,
         )?,
-        state_rps: within("deployment.state.rps", d.state.rps, 1.0, 1e6)?,
-        state_write_rps: within("deployment.state.write_rps", d.state.write_rps, 1.0, 1e6)?,
-        value_bytes: (within("deployment.state.value_kb", d.state.value_kb, 1.0, 1e6)? * 1024.0)
-            as usize,
-        txn_ops: d.state.txn_ops,
+        state_rps: state.rps,
+        state_write_rps: state.write_rps,
+        value_bytes: state.value_bytes,
+        txn_ops: state.txn_ops,
         cloud_rps: within("deployment.cloud.rps", d.cloud.rps, 0.01, 1e6)?,
         list_lag_s: within(
             "deployment.cloud.list_lag_s",
--- a/crates/stonegwd/src/settings_tests.rs
+++ b/crates/stonegwd/src/settings_tests.rs
@@ -88,6 +88,42 @@
     }
 }
 
+fn state_limits_of(next: &str) -> Result<(f64, f64, usize, usize), String> {
+    let to = format!("txn_ops = 32\n{next}");
+    let text = GOOD.replacen("txn_ops = 32", &to, 1);
+    let core = platform(&text, Tuning::default())?.core;
+    let rates = (core.state_rps, core.state_write_rps);
+    Ok((rates.0, rates.1, core.value_bytes, core.txn_ops))
+}
+
+/// The state service lowers its limits at a moment that nobody announces: whoever kept to the present
+/// ones until then would be refused in the middle of its work.
+#[test]
+fn the_lower_of_present_and_next_limits_holds() {
+    let none = (150.0, 60.0, 8192, 32);
+    assert_eq!(state_limits_of(""), Ok(none));
+    assert_eq!(state_limits_of("[deployment.state.next]"), Ok(none));
+    let all =
+        "[deployment.state.next]\nrps = 100.0\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4\n";
+    assert_eq!(state_limits_of(all), Ok((100.0, 18.0, 2048, 4)));
+    let some = "next = { value_kb = 2.0, rps = 200.0, txn_ops = 64, later = 1 }";
+    assert_eq!(state_limits_of(some), Ok((150.0, 60.0, 2048, 32)));
+}
+
+#[test]
+fn wrong_next_limits_name_the_field() {
+    for (next, field) in [
+        ("rps = 0.0", "deployment.state.next.rps"),
+        ("write_rps = nan", "deployment.state.next.write_rps"),
+        ("value_kb = -2.0", "deployment.state.next.value_kb"),
+        ("txn_ops = 0", "deployment.state.next.txn_ops"),
+        ("txn_ops = true", "deployment.state.next.txn_ops"),
+    ] {
+        let why = state_limits_of(&format!("next = {{ {next} }}")).expect_err(field);
+        assert!(why.contains(field) && !why.contains('\n'), "{field}: {why}");
+    }
+}
+
 #[test]
 fn the_operators_file_is_strict() {
     let t = operators("spare_tasks = 4\nidle_boots = 1.5\n").unwrap();
