--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -34,6 +34,8 @@
         };
         w.take(index);
         w.moved_at = Some(self.now_ms);
+        // Also a start out of a machine's queue is one that was owed: else room stays kept for it.
+        w.owed = w.owed.saturating_sub(1);
         m.shard = Some(shard);
         log::debug!("place {job}/{index}#{attempt} on {machine}");
         m.placements.push(Placement {
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -61,6 +61,8 @@
         report_s: 3.0,
         lease_s: 24.0,
         cancel_s: 54.0,
+        gang_wait_s: 35.0,
+        gang_peer_s: 8.0,
         state_rps,
         state_write_rps: 60.0,
         value_bytes: 8 * 1024,
