--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -137,6 +137,14 @@
 /// Tasks whose completion one record holds as a bitmap: 8192 bits are 1.4 kB of base64, far
 /// below the smallest value limit.
 pub const DONE_CHUNK: u32 = 8_192;
+/// Bytes of JSON that a value may take whatever the state service refuses: the largest record that can't
+/// be divided, a chunk of results or a usual submission, is smaller.
+pub const LEAST_VALUE_BYTES: usize = 2 * 1024;
+/// Transactions refused in a row because of the rate before they are made smaller: one or two only
+/// met the other nodes' in the same second.
+pub const RATE_REFUSALS: u32 = 3;
+/// Bytes of JSON that a submission or cancel takes in a transaction besides its value.
+pub const STORE_HEAD_BYTES: usize = 300;
 
 /// Machines that one record tells of at most: few records make few writes, and a transaction
 /// of eight rewrites a whole fleet; the size of a value bounds them further.
--- a/crates/control/src/leader/load.rs
+++ b/crates/control/src/leader/load.rs
@@ -87,6 +87,7 @@
         shard.bytes += json_len(&e.value);
         shard.jobs = e.value.jobs.iter().map(|j| j.0.clone()).collect();
         let record = e.value;
+        let mut doubles = vec![];
         for MachineRow(id, kind, zone, spot, tasks) in record.machines {
             self.machines
                 .add(&id, || Machine::new(&id, &kind, &zone, spot, now));
@@ -94,12 +95,18 @@
                 continue;
             };
             m.loaded = true;
-            m.shard = Some(number);
+            let known = m.shard.filter(|n| *n != number);
             for TaskRow(job, index, attempt) in tasks {
                 let Some(JobRow(job, team, cpus, gpus, memory)) = record.jobs.get(job) else {
                     log::error!("a record of {id} is not understood");
                     continue;
                 };
+                // Two records may tell of it, see `settle_double`.
+                let same =
+                    |p: &Placement| p.attempt == attempt && p.index == index && p.job == *job;
+                if m.placements.iter().any(same) {
+                    continue;
+                }
                 m.placements.push(Placement {
                     cpus: *cpus,
                     gpus: *gpus,
@@ -109,10 +116,22 @@
                     ..Placement::new(job, index, attempt, Phase::Sent)
                 });
             }
-            shard.machines.insert(id);
+            match known {
+                Some(first) => {
+                    drop(m);
+                    doubles.push((id, first));
+                }
+                None => {
+                    m.shard = Some(number);
+                    shard.machines.insert(id);
+                }
+            }
         }
         shard.stored.stale = true;
         self.shards.insert(number, shard);
+        for (id, first) in doubles {
+            self.settle_double(now, &id, first, number);
+        }
     }
 
     pub(super) fn load_done(&mut self, ctx: &mut Ctx, e: Entry<DoneRecord>) {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -5,6 +5,7 @@
 use crate::api::{CallError, CallResult, Ms, Now, Target};
 use crate::fleet::{Fleet, FleetCall};
 use crate::ledger::{Chunk, Life, Machine, Machines, Phase, Placement, Reach, Shard, Stored, Work};
+use crate::limits::{StoreLimits, TransactionSize};
 use crate::node::{describe, Out};
 use crate::records::{
     self, done_key, job_key, parse_task, shard_key, DoneRecord, End, JobRecord, JobRow, MachineRow,
@@ -27,7 +28,10 @@
 mod load;
 mod place;
 mod silence;
+mod split;
 mod store;
+#[cfg(test)]
+mod world_tests;
 
 /// What the leader may use of its node.
 pub struct Ctx<'a> {
@@ -41,6 +45,8 @@
     pub replica: &'a mut Replica,
     pub reads: &'a mut Bucket,
     pub writes: &'a mut Bucket,
+    /// How large what is written may be.
+    pub limits: &'a mut StoreLimits,
     pub(crate) out: &'a mut Out,
     pub calls: &'a mut Vec<(u64, Call)>,
 }
@@ -103,6 +109,7 @@
     },
     Flush {
         items: Vec<Item>,
+        size: TransactionSize,
     },
     Reread {
         item: Item,
@@ -268,6 +275,7 @@
     pub fn advance(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.ms;
         self.now_ms = now;
+        self.lower_value_bytes(ctx.limits.value_bytes());
         if now >= self.renew_at && !self.renewing {
             self.renewing = true;
             self.renew_sent = now;
@@ -398,7 +406,7 @@
                 }
             }
             Call::Load { .. } => self.loaded(ctx, result),
-            Call::Flush { items } => self.flushed(ctx, items, result),
+            Call::Flush { items, size } => self.flushed(ctx, items, size, result),
             Call::Reread { item } => self.reread_done(ctx, item, result),
             Call::Do {
                 machine,
--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -61,8 +61,10 @@
         }
         let room =
             |s: &Shard| s.bytes <= self.value_bytes / 2 && s.machines.len() < k::SHARD_MACHINES;
+        // One that waits for others to be stored would keep its tasks waiting as well.
+        let room = |s: &Shard| room(s) && s.successors.is_empty();
         let open = self.shards.iter().find(|(_, s)| room(s)).map(|(n, _)| *n);
-        open.or_else(|| (0..).find(|n| !self.shards.contains_key(n)))
+        open.or_else(|| Some(self.free_number()))
     }
 
     pub(super) fn shard_for(&mut self, machine: &str, job: &str, force: bool) -> Option<u32> {
--- /dev/null
+++ b/crates/control/src/leader/split_tests.rs
@@ -0,0 +1,244 @@
+use super::world_tests::*;
+use super::*;
+
+const LARGE: usize = 8 * 1024;
+const SMALL: usize = 2 * 1024;
+
+/// One record as the last release wrote it, of machines with eight tasks of a job each.
+fn stored_large() -> StateService {
+    let mut state = StateService::default();
+    let mut record = ShardRecord {
+        teams: vec!["red".into()],
+        ..ShardRecord::default()
+    };
+    for n in 0..32 {
+        let job = format!("run-{n}");
+        record.jobs.push(JobRow(job, 0, 1.0, 0.0, 2.0));
+        let rows = (0..8).map(|i| TaskRow(n, i, 71_000_000 + (n * 10) as u64 + u64::from(i)));
+        let (id, kind, zone) = (machine(n), "small".to_owned(), "a".to_owned());
+        let row = MachineRow(id, kind, zone, false, rows.collect());
+        record.machines.push(row);
+    }
+    let size = json_len(&record);
+    assert!(size > 2 * SMALL && size <= LARGE, "{size}");
+    state.put(&shard_key(0), Value::Shard(record));
+    state
+}
+
+/// Every placement that the records tell of, and how many of them do.
+fn told(state: &StateService) -> BTreeMap<(String, u64), usize> {
+    let mut told = BTreeMap::new();
+    for (_, record) in state.shards() {
+        for MachineRow(id, _, _, _, tasks) in record.machines {
+            for TaskRow(_, _, attempt) in tasks {
+                *told.entry((id.clone(), attempt)).or_default() += 1;
+            }
+        }
+    }
+    told
+}
+
+fn assert_held_once(leader: &Leader) {
+    let mut seen = BTreeSet::new();
+    for m in leader.machines.values() {
+        for p in &m.placements {
+            let key = (m.id.clone(), p.job.clone(), p.index, p.attempt);
+            assert!(seen.insert(key), "{} twice on {}", p.task(), m.id);
+        }
+        let records = leader.shards.values();
+        let records = records.filter(|s| s.machines.contains(&m.id)).count();
+        assert_eq!(records, 1, "{}", m.id);
+    }
+}
+
+/// Writes until nothing is due, and looks after each transaction whether all that was stored still is.
+fn settle(world: &mut World, leader: &mut Leader, all: &BTreeMap<(String, u64), usize>) {
+    for _ in 0..60 {
+        world.turn(leader);
+        let now = told(&world.state);
+        let lost: Vec<_> = all.keys().filter(|key| !now.contains_key(*key)).collect();
+        assert!(lost.is_empty(), "in no record: {lost:?}");
+    }
+    let over = world.state.shards().filter(|(_, r)| json_len(r) > SMALL);
+    assert_eq!(over.count(), 0);
+    assert!(told(&world.state).values().all(|n| *n == 1));
+    assert!(!leader.shards.values().any(Shard::due));
+}
+
+/// A record of the time before the limit was lowered could never be written again, and what was placed
+/// on its machines never started.
+#[test]
+fn a_record_above_the_limit_is_divided_and_none_of_it_is_lost() {
+    let mut world = World::new(stored_large(), SMALL, 4);
+    let mut leader = world.lead(2);
+    let all = told(&world.state);
+    world.turn(&mut leader);
+    world.submit(&mut leader, "run-99", 1);
+    let placed = (0..120).any(|_| {
+        world.turn(&mut leader);
+        leader.place(&machine(3), "run-99", 0)
+    });
+    assert!(placed);
+    settle(&mut world, &mut leader, &all);
+    assert!(world.most_writes <= 4);
+    let m = leader.machines.get(&machine(3)).expect("there");
+    assert!(m.placements.iter().any(|p| p.phase == Phase::Ready));
+    assert_held_once(&leader);
+}
+
+/// The process ends after any of the transactions of a division: the next leader finds machines in two
+/// records and must neither count their tasks twice nor lose them when it tidies up.
+#[test]
+fn a_division_cut_short_leaves_no_task_twice_and_none_lost() {
+    let all = told(&stored_large());
+    for ends_after in 0..12 {
+        let mut world = World::new(stored_large(), SMALL, 4);
+        let mut first = world.lead(2);
+        while world.transactions < ends_after && world.ms < 120_000 {
+            world.turn(&mut first);
+        }
+        drop(first);
+        let mut second = world.lead(3);
+        assert_held_once(&second);
+        let held = second.machines.values().map(|m| m.placements.len());
+        assert_eq!(held.sum::<usize>(), all.len());
+        settle(&mut world, &mut second, &all);
+        assert_held_once(&second);
+    }
+}
+
+/// Tidying up does not wait for company as placements do: it must not take a machine out of its old
+/// record before the new one is stored.
+#[test]
+fn a_divided_record_stays_until_its_parts_are_stored() {
+    let mut world = World::new(stored_large(), SMALL, 32);
+    let mut leader = world.lead(2);
+    let all = told(&world.state);
+    leader.batch_at = world.ms + 1_000;
+    settle(&mut world, &mut leader, &all);
+}
+
+/// The old record is within the limit again, and tells of a machine further on: what only the other
+/// one holds must be stored there before that one lets go of it.
+#[test]
+fn a_machine_leaves_a_record_only_for_one_that_tells_all_of_it() {
+    let record = |attempts: &[u64]| {
+        let rows = attempts.iter().map(|a| TaskRow(0, *a as u32, *a));
+        let (kind, zone) = ("small".to_owned(), "a".to_owned());
+        Value::Shard(ShardRecord {
+            teams: vec!["red".into()],
+            jobs: vec![JobRow("run-1".into(), 0, 1.0, 0.0, 2.0)],
+            machines: vec![MachineRow(machine(1), kind, zone, false, rows.collect())],
+        })
+    };
+    let mut state = StateService::default();
+    state.put(&shard_key(0), record(&[1]));
+    state.put(&shard_key(7), record(&[1, 2]));
+    let all = told(&state);
+    let mut world = World::new(state, LARGE, 1);
+    let mut leader = world.lead(2);
+    assert_held_once(&leader);
+    leader.batch_at = world.ms + 1_000;
+    settle(&mut world, &mut leader, &all);
+    assert_held_once(&leader);
+}
+
+/// A machine with more tasks than any record has room for keeps the record it has; a task that was to
+/// go there and can't be stored goes elsewhere instead of waiting for ever.
+#[test]
+fn what_fits_no_record_stays_told_and_holds_nothing_up() {
+    let mut world = World::new(StateService::default(), LARGE, 8);
+    let mut leader = world.lead(2);
+    let id = machine(1);
+    leader
+        .machines
+        .add(&id, || Machine::new(&id, "small", "a", false, 0));
+    for n in 0..50 {
+        world.submit(&mut leader, &format!("run-{n}"), 2);
+        assert!(leader.place(&id, &format!("run-{n}"), 0));
+    }
+    world.turn(&mut leader);
+    let all = told(&world.state);
+    assert_eq!(all.len(), 50);
+    assert!(leader.place(&id, "run-7", 1));
+    world.limits.lower_value_to(SMALL);
+    for _ in 0..20 {
+        world.turn(&mut leader);
+    }
+    assert_eq!(told(&world.state), all);
+    assert!(!leader.machines.is_present("run-7", 1));
+    assert!(leader.works["run-7"].pending.contains(&1));
+    assert!(!leader.place(&id, "run-7", 1));
+}
+
+/// The state service lowers both limits without a word: all that waits to be stored still is, and no
+/// transaction follows a refused one at once (the world looks after that).
+#[test]
+fn limits_lowered_without_a_word_hold_nothing_up() {
+    for (value, writes) in [(LARGE, 3), (SMALL, 8), (SMALL, 1)] {
+        let mut world = World::new(stored_large(), LARGE, 8);
+        let mut leader = world.lead(2);
+        let all = told(&world.state);
+        for n in 0..200 {
+            let id = machine(n);
+            leader
+                .machines
+                .add(&id, || Machine::new(&id, "small", "a", false, 0));
+            world.submit(&mut leader, &format!("run-{}", 100 + n), 1);
+        }
+        world.state.value_bytes = value;
+        world.state.writes = writes;
+        let mut waiting: BTreeSet<usize> = (0..200).collect();
+        for _ in 0..900 {
+            waiting.retain(|n| !leader.place(&machine(*n), &format!("run-{}", 100 + n), 0));
+            world.turn(&mut leader);
+            let now = told(&world.state);
+            assert!(all.keys().all(|key| now.contains_key(key)));
+        }
+        assert!(waiting.is_empty(), "{waiting:?}");
+        let placed = leader.machines.values().flat_map(|m| &m.placements);
+        assert_eq!(placed.filter(|p| p.phase == Phase::Ready).count(), 200);
+        assert!(world.refused > 0 && world.refused < 30, "{}", world.refused);
+        assert!(world.state.shards().all(|(_, r)| json_len(&r) <= value));
+    }
+}
+
+/// A transaction that meets a lowered rate is sent again later, and smaller after a while.
+#[test]
+fn a_lowered_rate_delays_and_loses_nothing() {
+    let mut world = World::new(StateService::default(), SMALL, 32);
+    let mut leader = world.lead(2);
+    for n in 0..60 {
+        let id = machine(n);
+        leader
+            .machines
+            .add(&id, || Machine::new(&id, "small", "a", false, 0));
+        world.submit(&mut leader, &format!("run-{n}"), 9);
+        for index in 0..9 {
+            assert!(leader.place(&id, &format!("run-{n}"), index));
+        }
+    }
+    // More than so many writes at once are never taken.
+    world.state.burst = 3;
+    for _ in 0..400 {
+        world.turn(&mut leader);
+    }
+    let placed = leader.machines.values().flat_map(|m| &m.placements);
+    assert_eq!(placed.filter(|p| p.phase == Phase::Ready).count(), 540);
+}
+
+/// A cancellation of a job accepted under the larger limit could not be stored, nor told to its user.
+#[test]
+fn a_cancelled_record_above_the_limit_is_stored_without_its_description() {
+    let spec = spec("run-1", 3);
+    let record = records::JobRecord::submitted(&spec, 5).cancelled();
+    let size = json_len(&record);
+    assert_eq!(record.clone().within(size).spec, Some(spec.clone()));
+    let short = record.within(size - 1);
+    assert_eq!(
+        (short.spec, short.end),
+        (None, Some(records::End::Cancelled))
+    );
+    let open = records::JobRecord::submitted(&spec, 5);
+    assert_eq!(open.within(10).spec, Some(spec));
+}
--- a/crates/control/src/leader/store.rs
+++ b/crates/control/src/leader/store.rs
@@ -6,6 +6,7 @@
     txn: Txn<Value>,
     items: Vec<Item>,
     bytes: usize,
+    size: TransactionSize,
     most: usize,
     /// Something found no room in it.
     full: bool,
@@ -24,6 +25,7 @@
             },
             items: vec![],
             bytes: k::TXN_MARGIN,
+            size: TransactionSize::default(),
             most,
             full: false,
         }
@@ -31,12 +33,14 @@
 
     /// False if it does not fit any more.
     fn add(&mut self, key: String, version: u64, value: Option<Value>, item: Item) -> bool {
-        let size = value.as_ref().map_or(0, json_len) + 2 * key.len() + 120;
+        let value_bytes = value.as_ref().map_or(0, json_len);
+        let size = value_bytes + 2 * key.len() + 120;
         if self.items.len() >= self.most || self.bytes + size > k::TXN_BYTES {
             self.full = true;
             return false;
         }
         self.bytes += size;
+        self.size.add(value_bytes);
         self.txn.conditions.push(Condition {
             key: key.clone(),
             version,
@@ -73,10 +77,13 @@
 }
 
 /// What a group's record holds now, and which attempts it holds for the first time.
-fn shard_record(machines: &Machines, shard: &Shard) -> (ShardRecord, Vec<On>) {
+pub(super) fn shard_record(
+    machines: &Machines,
+    group: &BTreeSet<String>,
+) -> (ShardRecord, Vec<On>) {
     let mut out = ShardRecord::default();
     let (mut new, mut jobs) = (vec![], HashMap::new());
-    for m in shard.machines.iter().filter_map(|id| machines.get(id)) {
+    for m in group.iter().filter_map(|id| machines.get(id)) {
         let mut rows = vec![];
         for p in m.placements.iter().filter(|p| p.present()) {
             let job = *jobs.entry(p.job.as_str()).or_insert_with(|| {
@@ -110,7 +117,9 @@
 /// Records to be written, the longest waiting first: by number, the last would wait for ever while
 /// the first keep changing.
 fn in_turn(shards: &BTreeMap<u32, Shard>, due: fn(&Shard) -> bool) -> Vec<u32> {
-    let ready = |s: &Shard| due(s) && s.stored.version.is_some() && !s.stored.writing;
+    // What a successor took over must be stored there before it goes from here.
+    let waits = |s: &Shard| s.successors.iter().any(|n| shards.contains_key(n));
+    let ready = |s: &Shard| due(s) && s.stored.version.is_some() && !s.stored.writing && !waits(s);
     let ready = shards.iter().filter(|(_, s)| ready(s));
     let mut order: Vec<(Ms, u32)> = ready.map(|(n, s)| (s.since, *n)).collect();
     order.sort_unstable();
@@ -132,22 +141,23 @@
             return;
         }
         let level = ctx.writes.level(now);
-        let most = (level.max(0.0) as usize).min(ctx.set.txn_ops);
+        let most = (level.max(0.0) as usize).min(ctx.limits.transaction_writes());
         if most == 0 {
             return;
         }
+        self.split_large();
         let mut draft = Draft::new(self.term, most);
         // Placements of urgent work are counted in seconds.
-        self.flush_shards(ctx, &mut draft, |s| s.stored.dirty && s.urgent);
+        self.flush_shards(&mut draft, |s| s.stored.dirty && s.urgent);
         self.flush_ends(ctx, &mut draft);
         // The rest waits for company, and leaves urgent placements their budget.
-        let ops = ctx.set.txn_ops as f64;
-        let reserve = ops.min(ctx.set.state_write_rps) * k::FLUSH_RESERVE;
+        let ops = (ctx.limits.transaction_writes() as f64).min(ctx.set.state_write_rps);
+        let reserve = ops * k::FLUSH_RESERVE;
         if now >= self.batch_at && level > reserve {
             // Tasks wait for placements, nobody for results that can be told again: these have a
             // part of each transaction, so that they are stored all the same.
             self.flush_results(ctx, &mut draft, most.div_ceil(k::RESULTS_SHARE));
-            self.flush_shards(ctx, &mut draft, |s| s.stored.dirty);
+            self.flush_shards(&mut draft, |s| s.stored.dirty);
             // A full transaction has no more company to wait for.
             if !draft.items.is_empty() && !draft.full {
                 self.batch_at = now + k::FLUSH_GAP_MS;
@@ -156,7 +166,7 @@
         // Tidying must not eat the budget that placements may need in the next second.
         if now >= self.tidy_at && level > ops * 0.5 {
             self.tidy_at = now + k::TIDY_GAP_MS;
-            self.flush_shards(ctx, &mut draft, |s| s.stored.stale);
+            self.flush_shards(&mut draft, |s| s.stored.stale);
             for (key, stored) in &mut self.drops {
                 if let (Some(version), false) = (stored.version, stored.writing) {
                     let item = Item::DropDone { key: key.clone() };
@@ -167,7 +177,9 @@
             }
             self.drops.retain(|(_, s)| s.version != Some(0));
         }
-        let Draft { txn, items, .. } = draft;
+        let Draft {
+            txn, items, size, ..
+        } = draft;
         if items.is_empty() {
             return;
         }
@@ -177,7 +189,7 @@
         ctx.writes.force(now, items.len() as f64);
         self.flushing = true;
         let body = encode(&txn);
-        let call = Call::Flush { items };
+        let call = Call::Flush { items, size };
         let wait = k::STATE_TIMEOUT_MS;
         ctx.call(call, Target::State, "POST", "/multi".into(), body, wait);
     }
@@ -264,7 +276,7 @@
         }
     }
 
-    fn flush_shards(&mut self, ctx: &Ctx, draft: &mut Draft, due: fn(&Shard) -> bool) {
+    fn flush_shards(&mut self, draft: &mut Draft, due: fn(&Shard) -> bool) {
         let mut empty = vec![];
         for number in in_turn(&self.shards, due) {
             // What is already full needs no look at the rest.
@@ -278,10 +290,11 @@
             let Some(version) = shard.stored.version else {
                 continue;
             };
-            let (record, new) = shard_record(&self.machines, shard);
+            let (record, new) = shard_record(&self.machines, &shard.machines);
             let size = json_len(&record);
-            if size > ctx.set.value_bytes {
-                log::error!("record {number} of machines takes {size} bytes; not written");
+            // Its bytes were counted too low; the next flush divides it.
+            if size > self.value_bytes {
+                shard.bytes = size + k::SHARD_HEAD_BYTES;
                 continue;
             }
             let n = number;
@@ -361,9 +374,20 @@
         }
     }
 
-    pub(super) fn flushed(&mut self, ctx: &mut Ctx, items: Vec<Item>, result: CallResult) {
+    pub(super) fn flushed(
+        &mut self,
+        ctx: &mut Ctx,
+        items: Vec<Item>,
+        size: TransactionSize,
+        result: CallResult,
+    ) {
         let now = ctx.now.ms;
         self.flushing = false;
+        match &result {
+            Ok((200, _)) => ctx.limits.accepted(),
+            Ok((429, _)) => ctx.limits.rate_refused(),
+            _ => {}
+        }
         match result {
             Ok((200, body)) => match decode::<TxnAnswer>(&body) {
                 Ok(a) => self.written(ctx, items, a.revision),
@@ -394,12 +418,18 @@
                 self.unflush(&items);
                 self.flush_at = now + k::STATE_RETRY_MS;
             }
+            // The limits were lowered: the same again, in smaller parts.
+            Ok((400, _)) if ctx.limits.size_refused(size) => {
+                self.unflush(&items);
+                self.flush_at = now + k::STATE_RETRY_MS;
+            }
             Ok((status, body)) => {
                 log::error!(
                     "transaction refused: {status} {}",
                     String::from_utf8_lossy(&body)
                 );
                 self.unflush(&items);
+                self.put_last(now, &items);
                 self.flush_at = now + k::STATE_RETRY_MAX_MS;
             }
             // It may have been carried out, or be applied yet: read the stamps before writing.
@@ -410,6 +440,18 @@
         }
     }
 
+    /// What can't be written must not keep other records waiting.
+    fn put_last(&mut self, now: Ms, items: &[Item]) {
+        for item in items {
+            if let Item::Shard { shard, .. } = item {
+                if let Some(s) = self.shards.get_mut(shard) {
+                    s.since = now;
+                    s.urgent = false;
+                }
+            }
+        }
+    }
+
     pub(super) fn unsure(&mut self, items: &[Item]) {
         self.unflush(items);
         for item in items {
@@ -435,7 +477,8 @@
                 s.version = Some(if gone { 0 } else { revision });
             }
             match item {
-                Item::Shard { new, .. } => {
+                Item::Shard { shard, new } => {
+                    self.succeeded(shard);
                     for on in new {
                         self.mark(&on, |p| {
                             if p.phase == Phase::New {
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -722,6 +722,8 @@
     pub urgent: bool,
     /// Since when something in it waits to be written.
     pub since: Ms,
+    /// Records that took over machines this one tells of: until they are stored it stays as it is.
+    pub successors: BTreeSet<u32>,
 }
 
 impl Shard {
@@ -733,6 +735,7 @@
             jobs: HashSet::new(),
             urgent: false,
             since: 0,
+            successors: BTreeSet::new(),
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod fleet;
 pub mod leader;
 pub mod ledger;
+pub mod limits;
 pub mod node;
 pub mod overdue;
 pub mod preempt;
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! standing for election) and, while it leads, the leader inside.
 use crate::api::{Action, CallError, CallResult, Event, Link, Ms, Now, Target};
 use crate::leader::Leader;
+use crate::limits::{StoreLimits, TransactionSize};
 use crate::records::{
     self, Common, End, FarRecord, JobRecord, LeaderRecord, Value, COMMON, LEADER,
 };
@@ -62,11 +63,22 @@
 enum Call {
     List,
     Watch,
-    Barrier { polls: Vec<Pending>, sent: Ms },
-    Store { batch: Vec<Pending> },
-    Far,
+    Barrier {
+        polls: Vec<Pending>,
+        sent: Ms,
+    },
+    Store {
+        batch: Vec<Pending>,
+        size: TransactionSize,
+    },
+    Far {
+        machines: Vec<String>,
+        size: TransactionSize,
+    },
     Grant,
-    Claim { lease: u64 },
+    Claim {
+        lease: u64,
+    },
     Release,
     Catalog,
     Leader(crate::leader::Call),
@@ -168,6 +180,8 @@
     /// Requests to the state service and changes in it, our share.
     pub(crate) reads: Bucket,
     pub(crate) writes: Bucket,
+    /// How large what we write may be.
+    limits: StoreLimits,
     waiting: Vec<Pending>,
     to_store: Vec<Pending>,
     barrier_at: Ms,
@@ -242,6 +256,7 @@
             catalog_asked: false,
             reads: Bucket::new(1.0, 1.0),
             writes: Bucket::new(1.0, 1.0),
+            limits: StoreLimits::new(&set),
             waiting: vec![],
             to_store: vec![],
             barrier_at: 0,
@@ -286,9 +301,11 @@
         let r = self.set.state_rps * share(k::LEADER_READS);
         let w = self.set.state_write_rps * share(k::LEADER_WRITES);
         self.reads.set_rate(r, r.max(4.0));
-        // A burst of one whole transaction must be possible.
+        // A burst of one whole transaction must be possible, but never more than the state service
+        // takes in a second: it would be refused for ever.
+        let burst = w.max(self.set.txn_ops as f64);
         self.writes
-            .set_rate(w, w.max(self.set.txn_ops as f64).max(1.0));
+            .set_rate(w, burst.min(self.set.state_write_rps).max(1.0));
     }
 
     /// The one entry: what happened, all that came together. What goes on by itself is looked
@@ -391,6 +408,7 @@
             replica: &mut self.replica,
             reads: &mut self.reads,
             writes: &mut self.writes,
+            limits: &mut self.limits,
             out: &mut self.out,
             calls: &mut calls,
         };
@@ -483,7 +501,7 @@
                     None => self.give_up(polls),
                 }
             }
-            Call::Store { batch } => self.stored(batch, result),
+            Call::Store { batch, size } => self.stored(batch, size, result),
             Call::Grant => match result {
                 Ok((200, body)) => match decode::<LeaseAnswer>(&body) {
                     Ok(a) => self.claim(a.lease),
@@ -499,7 +517,8 @@
                 }),
             },
             Call::Claim { lease } => self.claimed(lease, result),
-            Call::Release | Call::Far => {}
+            Call::Far { machines, size } => self.far_stored(machines, size, result),
+            Call::Release => {}
             Call::Catalog | Call::Leader(_) => {}
         }
     }
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -210,7 +210,7 @@
             .map(|(m, (_, _, at))| (*at, m.clone()))
             .collect();
         due.sort();
-        let most = (self.writes.level(now).max(0.0) as usize).min(self.set.txn_ops);
+        let most = (self.writes.level(now).max(0.0) as usize).min(self.limits.transaction_writes());
         if due.is_empty() || most == 0 || !self.reads.take(now, 1.0) {
             return;
         }
@@ -221,18 +221,20 @@
         // As many reports as a record holds, as many records as the budget allows. Records are
         // written over in turn; whoever reads them tells the newer report by its number.
         let (mut batch, mut bytes, mut total) = (vec![], 0, k::TXN_MARGIN);
+        let (mut machines, mut sent) = (vec![], TransactionSize::default());
         for (_, machine) in due {
             let Some((report, changed, at)) = self.far.get_mut(&machine) else {
                 continue;
             };
             let size = json_len(report) + 1;
-            let room = self.set.value_bytes.saturating_sub(k::FAR_HEAD_BYTES);
+            let room = self.limits.value_bytes().saturating_sub(k::FAR_HEAD_BYTES);
             if size > room || total + size > k::TXN_BYTES {
                 continue;
             }
             if bytes + size > room {
                 let full = far_write(&self.set.node, &mut self.far_slot, &mut batch);
                 txn.writes.push(full);
+                sent.add(bytes + k::FAR_HEAD_BYTES);
                 bytes = 0;
                 if txn.writes.len() >= most {
                     break;
@@ -241,16 +243,44 @@
             (bytes, total) = (bytes + size, total + size);
             (*changed, *at) = (false, now);
             batch.push(report.clone());
+            machines.push(machine);
         }
         if !batch.is_empty() {
             let rest = far_write(&self.set.node, &mut self.far_slot, &mut batch);
             txn.writes.push(rest);
+            sent.add(bytes + k::FAR_HEAD_BYTES);
         }
         if txn.writes.is_empty() {
             return;
         }
         self.writes.force(now, txn.writes.len() as f64);
-        self.transact(&txn, Call::Far);
+        let call = Call::Far {
+            machines,
+            size: sent,
+        };
+        self.transact(&txn, call);
+    }
+
+    /// Reports that the state service refused are handed on again, at once or in smaller parts.
+    pub(super) fn far_stored(
+        &mut self,
+        machines: Vec<String>,
+        size: TransactionSize,
+        result: CallResult,
+    ) {
+        match result {
+            Ok((200, _)) => return self.limits.accepted(),
+            Ok((429, _)) => self.limits.rate_refused(),
+            Ok((400, _)) => {
+                self.limits.size_refused(size);
+            }
+            _ => return,
+        }
+        for machine in machines {
+            if let Some((_, changed, _)) = self.far.get_mut(&machine) {
+                *changed = true;
+            }
+        }
     }
 
     /// Neither the state service nor any other node is heard: we are most likely cut off, and
@@ -423,3 +453,7 @@
         lease: None,
     }
 }
+
+#[cfg(test)]
+#[path = "relay_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/control/src/node/relay_tests.rs
@@ -0,0 +1,101 @@
+use super::*;
+
+fn settings(write_rps: f64, txn_ops: usize) -> Settings {
+    Settings {
+        node: "node-0".into(),
+        zone: "a".into(),
+        peers: vec![],
+        zones: vec!["a".into()],
+        teams: vec![],
+        promises: vec![],
+        report_s: 4.0,
+        lease_s: 24.0,
+        cancel_s: 54.0,
+        state_rps: 100.0,
+        state_write_rps: write_rps,
+        value_bytes: 8 * 1024,
+        txn_ops,
+        cloud_rps: 1.0,
+        list_lag_s: 1.0,
+        max_sockets: 1_000,
+        tuning: Default::default(),
+    }
+}
+
+fn report(machine: &str) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: "10.0.0.1:9000".into(),
+        machine_type: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq: 1,
+        token: 1,
+        notice_s: None,
+        tasks: vec![],
+    }
+}
+
+/// The transaction that is sent in this turn, if any, and the call for it.
+fn sent(node: &mut Node, ms: Ms) -> Option<(Txn<Value>, Call)> {
+    node.now.ms = ms;
+    node.advance_far();
+    let actions = std::mem::take(&mut node.out.actions);
+    let Action::Call { call, body, .. } = actions.into_iter().next()? else {
+        return None;
+    };
+    let call = node.calls.remove(&call)?;
+    Some((decode(&body).expect("a transaction"), call))
+}
+
+/// Reports that a lowered limit refuses were passed over until something else changed on their machines.
+#[test]
+fn refused_far_reports_are_handed_on_in_smaller_parts() {
+    let mut node = Node::new(settings(60.0, 8), 1);
+    node.sync = Sync::Live;
+    for n in 0..60 {
+        let id = format!("host-{n}");
+        node.far.insert(id.clone(), (report(&id), true, 0));
+        node.redirected.insert(id, 0);
+    }
+    let (most, value_bytes) = (1, 2 * 1024);
+    let mut handed = HashSet::new();
+    let mut refused = 0;
+    for turn in 1..200 {
+        let Some((txn, Call::Far { machines, size })) = sent(&mut node, turn * 100) else {
+            continue;
+        };
+        assert_eq!(txn.writes.len(), size.writes);
+        let large = |w: &Write<Value>| match w {
+            Write::Put { value, .. } => {
+                assert!(json_len(value) <= node.limits.value_bytes());
+                assert!(json_len(value) <= size.largest);
+                json_len(value) > value_bytes
+            }
+            Write::Delete { .. } => false,
+        };
+        let refuse = txn.writes.len() > most || txn.writes.iter().any(large);
+        refused += usize::from(refuse);
+        let status = if refuse { 400 } else { 200 };
+        if !refuse {
+            handed.extend(machines.clone());
+        }
+        node.far_stored(machines, size, Ok((status, vec![])));
+    }
+    assert_eq!(handed.len(), 60);
+    assert!((1..20).contains(&refused), "{refused}");
+}
+
+/// A transaction larger than what may be written in a second would be refused whenever it is sent.
+#[test]
+fn a_burst_is_no_larger_than_a_second_allows() {
+    for (write_rps, txn_ops) in [(10.0, 32), (18.0, 4), (60.0, 32)] {
+        let mut node = Node::new(settings(write_rps, txn_ops), 1);
+        node.role = Role::Leading;
+        node.share_budgets();
+        let burst = node.writes.level(3_600_000);
+        assert!(burst <= write_rps, "{burst}");
+        assert!(burst >= write_rps.min(txn_ops as f64), "{burst}");
+    }
+}
--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -1,6 +1,14 @@
 //! Users' requests: polls, submissions, cancels, health.
 use super::*;
 
+/// Why a submission is not taken.
+enum Refusal {
+    /// It can never run (422).
+    NeverRuns(String),
+    /// Its record is larger than a value may be (400).
+    TooLarge,
+}
+
 impl Node {
     /// 200 only when the node can take requests. While the state service is away from every
     /// node, taking all of them out would only delay the return.
@@ -131,11 +139,13 @@
             let why = "gangs are taken once every controller runs a release that knows them";
             return self.out.error(id, 503, Some(k::RETRY_GATE_S), why);
         }
-        let verdict = can_run(spec, &self.set, catalog);
+        let verdict = self.verdict(spec, catalog);
         if self.sync != Sync::Live || self.state_out() {
             // Types and limits are alike on all nodes: none can have taken what never runs.
             return match verdict {
-                Err(why) if self.sync == Sync::Live => self.out.error(id, 422, None, &why),
+                Err(Refusal::NeverRuns(why)) if self.sync == Sync::Live => {
+                    self.out.error(id, 422, None, &why);
+                }
                 _ => self.refuse(id),
             };
         }
@@ -152,6 +162,22 @@
         }
     }
 
+    /// Whether a job that is not known yet is taken.
+    fn verdict(&self, spec: &JobSpec, catalog: &Catalog) -> Result<(), Refusal> {
+        can_run(spec, &self.set, catalog).map_err(Refusal::NeverRuns)?;
+        let record = JobRecord::submitted(spec, self.now.wall_ms);
+        if json_len(&record) > self.record_bytes() {
+            return Err(Refusal::TooLarge);
+        }
+        Ok(())
+    }
+
+    /// Bytes of JSON that a job's record may take: a value, within a transaction of its own.
+    fn record_bytes(&self) -> usize {
+        let alone = k::TXN_BYTES - k::TXN_MARGIN - k::STORE_HEAD_BYTES;
+        self.limits.value_bytes().min(alone)
+    }
+
     pub(super) fn advance_front(&mut self) {
         let now = self.now.ms;
         for list in [&mut self.waiting, &mut self.to_store] {
@@ -212,7 +238,7 @@
     /// Puts as many submissions and cancels into one transaction as fit.
     pub(super) fn store(&mut self) {
         let now = self.now.ms;
-        let most = (self.writes.level(now) as usize).min(self.set.txn_ops);
+        let most = (self.writes.level(now) as usize).min(self.limits.transaction_writes());
         if most == 0 {
             return;
         }
@@ -222,6 +248,8 @@
         };
         let (mut batch, mut rest, mut keys) = (vec![], vec![], HashSet::new());
         let mut bytes = k::TXN_MARGIN;
+        let mut sent = TransactionSize::default();
+        let record_bytes = self.record_bytes();
         for p in std::mem::take(&mut self.to_store) {
             let (job, record, version) = match &p.ask {
                 Ask::Submit(spec) => {
@@ -230,7 +258,7 @@
                 }
                 Ask::Cancel(job) => match self.replica.jobs.get(job) {
                     Some(j) if j.record.end.is_none() => {
-                        let record = j.record.cancelled();
+                        let record = j.record.cancelled().within(record_bytes);
                         (job.clone(), record, j.version)
                     }
                     // Ended meanwhile: the barrier answers it.
@@ -241,12 +269,19 @@
                 },
                 Ask::Poll(_) => continue,
             };
-            let size = json_len(&record) + 300;
+            let value_bytes = json_len(&record);
+            // Another node may have taken it while values could be larger: look before refusing.
+            if value_bytes > record_bytes && matches!(p.ask, Ask::Submit(_)) {
+                self.waiting.push(p);
+                continue;
+            }
+            let size = value_bytes + k::STORE_HEAD_BYTES;
             if batch.len() >= most || bytes + size > k::TXN_BYTES || keys.contains(&job) {
                 rest.push(p);
                 continue;
             }
             bytes += size;
+            sent.add(value_bytes);
             let key = records::job_key(&job);
             txn.conditions.push(Condition {
                 key: key.clone(),
@@ -268,12 +303,20 @@
         self.reads.force(now, 1.0);
         self.writes.force(now, batch.len() as f64);
         self.storing += 1;
-        self.transact(&txn, Call::Store { batch });
+        self.transact(&txn, Call::Store { batch, size: sent });
     }
 
-    pub(super) fn stored(&mut self, batch: Vec<Pending>, result: CallResult) {
+    pub(super) fn stored(
+        &mut self,
+        batch: Vec<Pending>,
+        size: TransactionSize,
+        result: CallResult,
+    ) {
         self.storing -= 1;
         let now = self.now.ms;
+        if let Ok((200, _)) = result {
+            self.limits.accepted();
+        }
         match result {
             Ok((200, body)) => {
                 let Ok(answer) = decode::<TxnAnswer>(&body) else {
@@ -325,6 +368,14 @@
                 }
             }
             Ok((429, _)) => {
+                self.limits.rate_refused();
+                self.store_at = now + k::STATE_RETRY_MS;
+                self.to_store.extend(batch);
+            }
+            // Most likely the limits were lowered: the same again, in smaller parts and behind the
+            // others, until its users' patience ends.
+            Ok((400, _)) => {
+                self.limits.size_refused(size);
                 self.store_at = now + k::STATE_RETRY_MS;
                 self.to_store.extend(batch);
             }
@@ -352,12 +403,13 @@
                     return self.out.reply(p.id, 200, None, &status);
                 }
                 let verdict = match &self.catalog {
-                    Some(c) => can_run(spec, &self.set, c),
+                    Some(c) => self.verdict(spec, c),
                     None => return self.refuse(p.id),
                 };
                 match verdict {
                     Ok(()) => self.to_store.push(p),
-                    Err(why) => self.out.error(p.id, 422, None, &why),
+                    Err(Refusal::NeverRuns(why)) => self.out.error(p.id, 422, None, &why),
+                    Err(Refusal::TooLarge) => self.out.error(p.id, 400, None, "too large"),
                 }
             }
             Ask::Cancel(job) => match self.replica.jobs.get(job) {
--- a/crates/control/src/records.rs
+++ b/crates/control/src/records.rs
@@ -9,7 +9,7 @@
 //! | `m/<number>` | the leader | what may be on a group of machines |
 use base64::{engine::general_purpose::STANDARD_NO_PAD, Engine};
 use serde::{Deserialize, Serialize};
-use stonegw_wire::msg::{JobSpec, Report};
+use stonegw_wire::msg::{json_len, JobSpec, Report};
 
 pub const COMMON: &str = "c/";
 pub const LEADER: &str = "c/leader";
@@ -69,6 +69,16 @@
             ..self.clone()
         }
     }
+
+    /// The record as it is stored: without the description of a job that has ended, if it would be larger
+    /// than a value may be.
+    pub fn within(self, value_bytes: usize) -> JobRecord {
+        if self.end.is_some() && json_len(&self) > value_bytes {
+            JobRecord { spec: None, ..self }
+        } else {
+            self
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
