--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod gang;
 pub mod leader;
 pub mod ledger;
+pub mod limits;
 pub mod node;
 pub mod overdue;
 pub mod preempt;
--- a/crates/control/src/records.rs
+++ b/crates/control/src/records.rs
@@ -10,7 +10,7 @@
 //! | `v/<node>` | that node | the release that it runs; earlier releases never read it |
 use base64::{engine::general_purpose::STANDARD_NO_PAD, Engine};
 use serde::{Deserialize, Serialize};
-use stonegw_wire::msg::{JobSpec, Report};
+use stonegw_wire::msg::{json_len, JobSpec, Report};
 
 pub const COMMON: &str = "c/";
 pub const LEADER: &str = "c/leader";
@@ -75,6 +75,16 @@
             ..self.clone()
         }
     }
+
+    /// The record as it is stored: without the description of a job that has ended, if it would be larger
+    /// than a value may be.
+    pub fn within(self, value_bytes: usize) -> JobRecord {
+        if self.end.is_some() && json_len(&self) > value_bytes {
+            JobRecord { spec: None, ..self }
+        } else {
+            self
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
