--- /dev/null
+++ b/crates/testkit/src/sim/setup.rs
@@ -0,0 +1,138 @@
+//! The world as a trace's header lines set it up: nodes, teams, limits, machines.
+use super::{Sim, CANCEL_MS, LEASE_MS, REPORT_MS};
+use crate::outside::{Cloud, Ms};
+use std::collections::BTreeMap;
+use stonegw_control::settings::{Settings, Team, Tuning};
+use stonegw_wire::msg::*;
+
+/// What every machine has.
+pub(super) const MACHINE_CPUS: f64 = 4.0;
+pub(super) const MACHINE_GB: f64 = 16.0;
+const BOOT_MS: Ms = 10_000;
+const CAPACITY: usize = 20;
+
+fn team(name: &str, cpus: f64, cpus_max: f64) -> Team {
+    Team {
+        name: name.into(),
+        cpus,
+        cpus_max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    }
+}
+
+/// The settings of each of so many nodes.
+pub(super) fn settings(nodes: usize) -> Vec<Settings> {
+    let names: Vec<String> = (0..nodes).map(|i| format!("node-{i}")).collect();
+    names.iter().map(|n| node_settings(n, &names)).collect()
+}
+
+fn node_settings(name: &str, names: &[String]) -> Settings {
+    Settings {
+        node: name.to_owned(),
+        zone: "a".into(),
+        peers: names.iter().filter(|n| *n != name).cloned().collect(),
+        zones: vec!["a".into(), "b".into()],
+        teams: vec![team("red", 8.0, 32.0), team("blue", 4.0, 4.0)],
+        promises: vec![],
+        report_s: REPORT_MS as f64 / 1e3,
+        lease_s: LEASE_MS as f64 / 1e3,
+        cancel_s: CANCEL_MS as f64 / 1e3,
+        state_rps: 150.0,
+        state_write_rps: 60.0,
+        value_bytes: 8 * 1024,
+        txn_ops: 8,
+        cloud_rps: 5.0,
+        list_lag_s: 4.0,
+        max_sockets: 1000,
+        tuning: Tuning {
+            spare_tasks: 0.0,
+            idle_boots: 100.0,
+            ..Tuning::default()
+        },
+    }
+}
+
+fn machine_type(name: &str, zone: &str, price: f64) -> MachineType {
+    MachineType {
+        name: name.into(),
+        cpus: MACHINE_CPUS,
+        gpus: 0.0,
+        memory_gb: MACHINE_GB,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price,
+        spot_price: None,
+        boot_s: 10.0,
+        zones: vec![zone.into()],
+    }
+}
+
+/// A cloud with one machine type in each zone and no machine yet.
+pub(super) fn cloud() -> Cloud {
+    Cloud {
+        catalog: Catalog {
+            types: vec![
+                machine_type("small", "a", 1.0),
+                machine_type("far", "b", 2.0),
+            ],
+        },
+        next: 0,
+        machines: BTreeMap::new(),
+        answered: BTreeMap::new(),
+        boot_ms: BOOT_MS,
+        capacity: CAPACITY,
+    }
+}
+
+impl Sim {
+    /// The state service's limit on changes; takes effect on nodes that start later.
+    pub fn write_rps(&mut self, rps: f64) {
+        for s in &mut self.settings {
+            s.state_write_rps = rps;
+        }
+    }
+
+    /// The state service's limit on requests; likewise.
+    pub fn state_rps(&mut self, rps: f64) {
+        for s in &mut self.settings {
+            s.state_rps = rps;
+        }
+    }
+    /// A team's guarantee and limit, in CPUs; likewise.
+    pub fn team(&mut self, name: &str, cpus: f64, cpus_max: f64) {
+        for t in self.settings.iter_mut().flat_map(|s| &mut s.teams) {
+            if t.name == name {
+                (t.cpus, t.cpus_max) = (cpus, cpus_max);
+            }
+        }
+    }
+
+    /// How large a record may be; likewise.
+    pub fn value_bytes(&mut self, bytes: usize) {
+        for s in &mut self.settings {
+            s.value_bytes = bytes;
+        }
+    }
+    /// The cloud also has spot machines of every type, at a third of the price.
+    pub fn spot_machines(&mut self) {
+        for t in &mut self.cloud.catalog.types {
+            t.spot_price = Some(t.price / 3.0);
+        }
+    }
+
+    /// One more machine that is up at once.
+    pub fn add_machine(&mut self, zone: &str) {
+        let kind = if zone == "a" { "small" } else { "far" };
+        let hire = Hire {
+            request: String::new(),
+            machine_type: kind.into(),
+            zone: zone.into(),
+            spot: false,
+            count: 1,
+        };
+        let now = self.now;
+        self.cloud.create(now, &hire, 0);
+        self.boot();
+    }
+}
--- a/crates/testkit/src/trace.rs
+++ b/crates/testkit/src/trace.rs
@@ -54,7 +54,7 @@
 //! | `T expect-log TEXT` / `T expect-no-log TEXT` | what the log holds by then |
 //! | `until T` | the end; no rule may be broken by then |
 use crate::outside::Ms;
-use crate::sim::{Odd, Sim, Trap};
+use crate::sim::{Odd, Sim, Trap, TrapKind};
 use serde_json::Value;
 use stonegw_wire::msg::{decode, encode, JobKind, JobPhase, JobSpec, Priority};
 
@@ -310,13 +310,18 @@
             } else {
                 ms(word(3))
             };
-            sim.traps.push(match word(1) {
-                "crash-before" => Trap::CrashBefore(key, back),
-                "crash-after" => Trap::CrashAfter(key, back),
-                "lose-answer" => Trap::LoseAnswer(key),
-                "slow-answer" => Trap::SlowAnswer(key, ms(word(3))),
-                "delay" => Trap::Delay(key, ms(word(3))),
+            let kind = match word(1) {
+                "crash-before" => TrapKind::CrashBefore,
+                "crash-after" => TrapKind::CrashAfter,
+                "lose-answer" => TrapKind::LoseAnswer,
+                "slow-answer" => TrapKind::SlowAnswer,
+                "delay" => TrapKind::Delay,
                 other => panic!("unknown trap {other}"),
+            };
+            sim.traps.push(Trap {
+                kind,
+                key,
+                ms: back,
             });
         }
         "refuse" => {
