--- a/crates/testkit/src/outside/mod.rs
+++ b/crates/testkit/src/outside/mod.rs
@@ -5,7 +5,7 @@
 
 pub use cloud::Cloud;
 pub use state::State;
-pub use worker::{addr_of, Task, Worker};
+pub use worker::{addr_of, GangRunId, Task, TaskKey, Worker};
 
 use stonegw_wire::msg::{encode, ErrorBody};
 
--- a/crates/testkit/src/outside/worker.rs
+++ b/crates/testkit/src/outside/worker.rs
@@ -1,18 +1,66 @@
 //! A worker: its machine, its session, its tasks.
 use super::Ms;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use stonegw_wire::msg::*;
 
+/// A task's name and the attempt.
+pub type TaskKey = (String, u64);
+/// The number of one run of a gang.
+pub type GangRunId = u64;
+
 /// A task on a worker, also one that has exited.
 #[derive(Clone, Debug)]
 pub struct Task {
-    pub attempt: u64,
     pub state: TaskState,
     pub why: Option<ExitCause>,
+    /// Whether its progress was saved when it was stopped; none if it never saves.
+    pub saved: Option<bool>,
+    /// The run of its gang that it is part of, once that has started.
+    pub gang_run: Option<GangRunId>,
     /// When its state ends by itself.
     pub until: Ms,
 }
 
+impl Task {
+    /// A task in that state, which ends by itself at that moment.
+    pub fn new(state: TaskState, until: Ms) -> Task {
+        Task {
+            state,
+            why: None,
+            saved: None,
+            gang_run: None,
+            until,
+        }
+    }
+
+    /// A start that the worker refuses.
+    pub fn refused(why: ExitCause) -> Task {
+        let mut task = Task::new(TaskState::Exited, Ms::MAX);
+        task.why = Some(why);
+        task
+    }
+
+    /// It ends now.
+    pub fn exit(&mut self, why: ExitCause) {
+        self.state = TaskState::Exited;
+        self.why = Some(why);
+        self.until = Ms::MAX;
+    }
+
+    /// Whether it has its image and has not exited.
+    pub fn on_machine(&self) -> bool {
+        matches!(
+            self.state,
+            TaskState::Gathering | TaskState::Running | TaskState::Saving
+        )
+    }
+
+    /// Whether it takes room on its machine.
+    pub fn present(&self) -> bool {
+        self.state != TaskState::Exited
+    }
+}
+
 /// The worker of one machine.
 pub struct Worker {
     pub id: String,
@@ -29,8 +77,9 @@
     pub changed: bool,
     /// The report in flight: request number and when it was sent.
     pub flying: Option<(u64, Ms)>,
-    pub tasks: BTreeMap<String, Task>,
-    pub images: BTreeSet<String>,
+    pub tasks: BTreeMap<TaskKey, Task>,
+    /// When each image was there, or will be.
+    pub images: BTreeMap<String, Ms>,
     /// Seconds' notice it reports.
     pub notice_s: Option<f64>,
     /// Its steps count from here; the next at which it looks at itself.
@@ -62,7 +111,7 @@
             changed: false,
             flying: None,
             tasks: BTreeMap::new(),
-            images: BTreeSet::new(),
+            images: BTreeMap::new(),
             notice_s: None,
             grid: up,
             turn_at: Ms::MAX,
@@ -86,12 +135,12 @@
             tasks: self
                 .tasks
                 .iter()
-                .map(|(task, t)| TaskReport {
+                .map(|((task, attempt), t)| TaskReport {
                     task: task.clone(),
-                    attempt: t.attempt,
+                    attempt: *attempt,
                     state: t.state,
                     why: t.why,
-                    saved: None,
+                    saved: t.saved,
                 })
                 .collect(),
         }
@@ -116,7 +165,18 @@
 
     /// Whether a task is on the machine: it has its image and has not exited.
     pub fn on_machine(&self, task: &str) -> bool {
-        let t = self.tasks.get(task);
-        t.is_some_and(|t| matches!(t.state, TaskState::Running | TaskState::Saving))
+        self.attempts_of(task).any(|(_, t)| t.on_machine())
+    }
+
+    /// The attempts of a task that the worker knows, also those that have exited.
+    pub fn attempts_of(&self, task: &str) -> impl Iterator<Item = (u64, &Task)> {
+        let range = (task.to_owned(), 0)..=(task.to_owned(), u64::MAX);
+        self.tasks.range(range).map(|((_, n), t)| (*n, t))
+    }
+
+    /// The names of the tasks that are on the machine.
+    pub fn tasks_on_machine(&self) -> impl Iterator<Item = &str> {
+        let on = self.tasks.iter().filter(|(_, t)| t.on_machine());
+        on.map(|((task, _), _)| task.as_str())
     }
 }
--- a/crates/testkit/src/sim/command.rs
+++ b/crates/testkit/src/sim/command.rs
@@ -1,7 +1,9 @@
 //! Commands at a worker: direct ones, their copies, and how they are carried out.
 use super::event::{Call, Caller, Step};
-use super::{job_of, Sim};
-use crate::outside::{Ms, Task, Worker};
+use super::rule::MARGIN;
+use super::setup::{MACHINE_CPUS, MACHINE_GB};
+use super::{job_of, split_task, Sim, GANG_WAIT_MS};
+use crate::outside::{Ms, Task, TaskKey, Worker};
 use stonegw_wire::msg::*;
 
 const FETCH_MS: Ms = 1_000;
@@ -79,59 +81,99 @@
     }
 
     /// Carries out commands in order.
-    pub(super) fn execute(&mut self, id: &str, commands: Vec<Command>) {
+    pub fn execute(&mut self, id: &str, commands: Vec<Command>) {
         for command in commands {
             match command {
-                Command::Start { task, attempt } => self.start_task(id, &task, attempt),
-                Command::Stop { task, attempt, .. } => self.stop_task(id, &task, attempt),
-                Command::Forget { task, attempt } => self.forget_task(id, &task, attempt),
+                Command::Start { task, attempt } => self.start_task(id, (task, attempt)),
+                Command::Stop {
+                    task,
+                    attempt,
+                    grace_s,
+                } => self.stop_task(id, &(task, attempt), grace_s),
+                Command::Forget { task, attempt } => self.forget_task(id, &(task, attempt)),
             }
+            self.workers.get_mut(id).expect("worker").changed = true;
         }
         self.worker_due(id, self.now);
     }
 
-    fn start_task(&mut self, id: &str, task: &str, attempt: u64) {
-        let w = self.workers.get_mut(id).expect("worker");
-        if w.tasks.get(task).is_some_and(|t| t.attempt == attempt) {
+    fn start_task(&mut self, id: &str, key: TaskKey) {
+        let now = self.now;
+        if self.workers[id].tasks.contains_key(&key) {
             return;
         }
-        let Some(j) = self.jobs.get(job_of(task)) else {
-            return;
-        };
-        let fetched = !w.images.insert(j.spec.image.clone());
-        let (state, lag) = match fetched {
-            true => (TaskState::Running, j.run_ms),
-            false => (TaskState::Fetching, FETCH_MS),
-        };
-        let t = Task {
-            attempt,
-            state,
-            why: None,
-            until: self.now + lag,
+        let refusal = self.refusal(id, &key.0);
+        let w = self.workers.get_mut(id).expect("worker");
+        if let Some(why) = refusal {
+            w.tasks.insert(key.clone(), Task::refused(why));
+            return self.note(format!("{}#{} is refused by {id}: {why:?}", key.0, key.1));
+        }
+        let j = self.jobs.get_mut(job_of(&key.0)).expect("not refused");
+        j.attempts.insert(key.1);
+        let image = w.images.entry(j.spec.image.clone());
+        let ready = *image.or_insert(now + FETCH_MS);
+        let task = Task::new(TaskState::Fetching, ready);
+        w.tasks.insert(key.clone(), task);
+        if now >= ready {
+            self.image_ready(id, &key);
+        }
+    }
+
+    /// Why a worker refuses to start a task, if it does.
+    fn refusal(&self, id: &str, task: &str) -> Option<ExitCause> {
+        let w = &self.workers[id];
+        let Some(job) = self.jobs.get(job_of(task)) else {
+            return Some(ExitCause::Unknown);
         };
-        w.tasks.insert(task.to_owned(), t);
-        w.changed = true;
-        if fetched {
-            self.started(id, task, attempt);
+        if w.attempts_of(task).any(|(_, t)| t.present()) {
+            return Some(ExitCause::Busy);
         }
+        let present = w.tasks.iter().filter(|(_, t)| t.present());
+        let specs = present.map(|((task, _), _)| &self.jobs[job_of(task)].spec);
+        let (mut cpus, mut memory_gb) = (job.spec.cpus, job.spec.memory_gb);
+        for spec in specs {
+            cpus += spec.cpus;
+            memory_gb += spec.memory_gb;
+        }
+        let full = cpus > MACHINE_CPUS + MARGIN || memory_gb > MACHINE_GB + MARGIN;
+        full.then_some(ExitCause::NoRoom)
     }
 
-    fn stop_task(&mut self, id: &str, task: &str, attempt: u64) {
+    /// A task has its image: it runs, waits for its gang, or tells a result that was kept.
+    pub(super) fn image_ready(&mut self, id: &str, key: &TaskKey) {
+        let now = self.now;
+        let (job, index) = split_task(&key.0);
+        let j = &self.jobs[job];
         let w = self.workers.get_mut(id).expect("worker");
+        let t = w.tasks.get_mut(key).expect("task");
         w.changed = true;
-        let t = w.tasks.get_mut(task).filter(|t| t.attempt == attempt);
-        if let Some(t) = t.filter(|t| t.state != TaskState::Exited) {
-            t.state = TaskState::Exited;
-            t.why = Some(ExitCause::Stopped);
+        if j.finished.contains(&index) {
+            t.exit(ExitCause::Done);
+            return self.note(format!("{}#{} was done before", key.0, key.1));
         }
+        let gang = j.spec.kind == JobKind::Gang;
+        (t.state, t.until) = match gang {
+            true => (TaskState::Gathering, now + GANG_WAIT_MS),
+            false => (TaskState::Running, now.saturating_add(j.run_ms)),
+        };
+        self.started(id, &key.0, key.1);
     }
 
-    fn forget_task(&mut self, id: &str, task: &str, attempt: u64) {
+    fn stop_task(&mut self, id: &str, key: &TaskKey, grace_s: f64) {
         let w = self.workers.get_mut(id).expect("worker");
-        w.changed = true;
-        let t = w.tasks.get(task).filter(|t| t.attempt == attempt);
-        if t.is_some_and(|t| t.state == TaskState::Exited) {
-            w.tasks.remove(task);
+        let Some(t) = w.tasks.get_mut(key).filter(|t| t.present()) else {
+            return;
+        };
+        match t.gang_run {
+            Some(run) => self.stop_member(run, id, key, grace_s),
+            None => t.exit(ExitCause::Stopped),
+        }
+    }
+
+    fn forget_task(&mut self, id: &str, key: &TaskKey) {
+        let w = self.workers.get_mut(id).expect("worker");
+        if w.tasks.get(key).is_some_and(|t| !t.present()) {
+            w.tasks.remove(key);
         }
     }
 }
--- a/crates/testkit/src/sim/event.rs
+++ b/crates/testkit/src/sim/event.rs
@@ -5,7 +5,7 @@
 use stonegw_wire::frame::Frame;
 use stonegw_wire::http::Request;
 
-/// Rules that time alone can break are looked at so often.
+/// Gangs, and rules that time alone can break, are looked at so often.
 const CHECK_MS: Ms = 100;
 const ROOM_CHECK_MS: Ms = 1_000;
 const TICK_MS: Ms = 50;
@@ -66,7 +66,7 @@
     LinkUp(usize, u64, usize),
     /// A user's turn to ask about a job.
     User(String),
-    /// A look at the rules that time alone can break.
+    /// A look at gangs, and at the rules that time alone can break.
     Check,
     /// A line of the script.
     Script(usize),
@@ -191,6 +191,7 @@
     }
 
     fn check_rules(&mut self) {
+        self.gangs_turn();
         self.check_cancelled();
         let calm = self.calm.is_some_and(|calm| self.now >= calm);
         if calm && self.now % ROOM_CHECK_MS == 0 {
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod event;
 mod fault;
+mod gang;
 mod network;
 mod node;
 mod odd;
@@ -18,8 +19,9 @@
 pub use odd::Odd;
 pub use user::Job;
 
-use crate::outside::{Cloud, Ms, State, Worker};
+use crate::outside::{Cloud, GangRunId, Ms, State, Worker};
 use event::{Due, Step};
+use gang::GangRun;
 use state_calls::Watch;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use stonegw_control::node::Node;
@@ -34,6 +36,17 @@
 /// How long tasks of a cancelled job may stay.
 pub const CANCEL_MS: Ms = 54_000;
 
+/// How long a gang's task waits for the others, and within what time tasks of a running gang
+/// notice that one is gone.
+pub const GANG_WAIT_MS: Ms = 45_000;
+pub const GANG_PEER_MS: Ms = 4_000;
+
+/// The job and the number of a task.
+fn split_task(task: &str) -> (&str, u32) {
+    let (job, index) = task.split_once('/').expect("task name");
+    (job, index.parse().expect("task number"))
+}
+
 fn job_of(task: &str) -> &str {
     task.split('/').next().unwrap_or("")
 }
@@ -82,6 +95,9 @@
     /// Until when answers and commands don't reach a machine, though its reports arrive.
     pub deaf: BTreeMap<String, Ms>,
     any_cancelled: bool,
+    /// Runs of gangs of which tasks are left, and the number of the next.
+    gang_runs: BTreeMap<GangRunId, GangRun>,
+    next_gang_run: GangRunId,
     /// Machines that stopped by themselves.
     dead: BTreeSet<String>,
     /// What each team's tasks take at most, in CPUs.
@@ -139,6 +155,8 @@
             mute: BTreeMap::new(),
             deaf: BTreeMap::new(),
             any_cancelled: false,
+            gang_runs: BTreeMap::new(),
+            next_gang_run: 1,
             dead: BTreeSet::new(),
             team_bound: BTreeMap::new(),
             copy_reports: BTreeMap::new(),
--- a/crates/testkit/src/sim/rule.rs
+++ b/crates/testkit/src/sim/rule.rs
@@ -53,14 +53,12 @@
     pub(super) fn started(&mut self, id: &str, task: &str, attempt: u64) {
         self.note(format!("{task}#{attempt} starts on {id}"));
         self.check_twice(id, task);
-        let job = job_of(task);
-        let j = self.jobs.get_mut(job).expect("job");
-        j.begun.get_or_insert(self.now);
-        j.waits_since = None;
-        let (run_ms, spec, told) = (j.run_ms, j.spec.clone(), j.cancelled_at);
-        let w = self.workers.get_mut(id).expect("worker");
-        if let Some(t) = w.tasks.get_mut(task) {
-            t.until = self.now + run_ms;
+        let j = self.jobs.get_mut(job_of(task)).expect("job");
+        let (spec, told) = (j.spec.clone(), j.cancelled_at);
+        if spec.kind != JobKind::Gang {
+            // A gang starts when all its tasks run.
+            j.begun.get_or_insert(self.now);
+            j.waits_since = None;
         }
         if told.is_some_and(|at| self.now > at + CANCEL_MS) {
             self.broke(format!("ran_cancelled {task} starts on {id}"));
@@ -99,8 +97,8 @@
     pub(super) fn zones_of(&self, job: &str) -> BTreeMap<String, u32> {
         let mut zones = BTreeMap::new();
         for w in self.workers.values() {
-            let on = |t: &&String| job_of(t) == job && w.on_machine(t);
-            let n = w.tasks.keys().filter(on).count() as u32;
+            let here = w.tasks_on_machine().filter(|t| job_of(t) == job);
+            let n = here.count() as u32;
             if n > 0 {
                 *zones.entry(w.zone.clone()).or_default() += n;
             }
@@ -116,10 +114,10 @@
         if *bound <= most + 1e-6 {
             return;
         }
-        let tasks = self.workers.values().flat_map(|w| {
-            let names = w.tasks.keys().filter(|t| w.on_machine(t));
-            names.map(|t| &self.jobs[job_of(t)].spec)
-        });
+        let tasks = self
+            .workers
+            .values()
+            .flat_map(|w| w.tasks_on_machine().map(|t| &self.jobs[job_of(t)].spec));
         let used: f64 = tasks.filter(|s| s.team == team).map(|s| s.cpus).sum();
         *bound = used;
         if used > most + 1e-6 && !self.broken.iter().any(|b| b.starts_with("quota")) {
@@ -136,7 +134,7 @@
         }
         let mut late = vec![];
         for w in self.workers.values() {
-            for task in w.tasks.keys().filter(|t| w.on_machine(t)) {
+            for task in w.tasks_on_machine() {
                 if over(&self.jobs[job_of(task)]) {
                     late.push(format!("ran_cancelled {task} on {}", w.id));
                 }
--- a/crates/testkit/src/sim/user.rs
+++ b/crates/testkit/src/sim/user.rs
@@ -21,11 +21,18 @@
     /// Its user cancels so much after the end of its last task.
     pub cancel_at_end: Option<Ms>,
     pub finished: BTreeSet<u32>,
+    /// When it was first submitted.
+    pub submitted: Ms,
+    /// The attempts that workers began.
+    pub attempts: BTreeSet<u64>,
+    /// When each run of a gang started, and what progress of it is safe.
+    pub gang_starts: Vec<Ms>,
+    pub saved_ms: Ms,
     pub(super) asking: Option<u64>,
     pub status: u16,
     /// When a question about it was last answered.
     pub answered: Ms,
-    /// When its first task started.
+    /// When its first task started, or all tasks of a gang.
     pub begun: Option<Ms>,
     /// When its user was told that it has ended.
     pub(super) ended_at: Option<Ms>,
@@ -45,6 +52,10 @@
             cancelled_at: None,
             cancel_at_end: None,
             finished: BTreeSet::new(),
+            submitted: now,
+            attempts: BTreeSet::new(),
+            gang_starts: vec![],
+            saved_ms: 0,
             asking: None,
             status: 0,
             answered: now,
--- a/crates/testkit/src/sim/worker.rs
+++ b/crates/testkit/src/sim/worker.rs
@@ -1,8 +1,8 @@
 //! A worker's own turns: its lease, its tasks, its reports.
 use super::event::Step;
 use super::user::Asker;
-use super::{Sim, LEASE_MS, REPORT_MS};
-use crate::outside::{Ms, Worker};
+use super::{split_task, Sim, LEASE_MS, REPORT_MS};
+use crate::outside::{Ms, TaskKey, Worker};
 use std::collections::BTreeMap;
 use stonegw_wire::http::Request;
 use stonegw_wire::msg::*;
@@ -33,7 +33,12 @@
     /// When it next has something to do by itself.
     fn next_turn(&self) -> Ms {
         let tasks = self.tasks.values();
-        let busy = tasks.filter(|t| matches!(t.state, TaskState::Fetching | TaskState::Running));
+        let busy = tasks.filter(|t| {
+            matches!(
+                t.state,
+                TaskState::Fetching | TaskState::Gathering | TaskState::Running
+            )
+        });
         let next_task = busy.map(|t| t.until).min();
         let contact = match self.flying {
             Some((_, sent)) => sent + PATIENCE_MS,
@@ -70,7 +75,7 @@
         let unheard = self.apart(w.node, &w.zone);
         self.end_lease(id);
         self.start_fetched(id);
-        self.finish_tasks(id);
+        self.end_tasks(id);
         self.give_up_report(id);
         if self.workers.get(id).is_some_and(|w| w.report_due(now)) {
             self.send_report(id, unheard);
@@ -93,49 +98,47 @@
     /// Tasks whose image is there start.
     fn start_fetched(&mut self, id: &str) {
         let now = self.now;
-        let mut started = vec![];
-        let w = self.workers.get_mut(id).expect("worker");
-        for (task, t) in &mut w.tasks {
-            if t.state == TaskState::Fetching && now >= t.until {
-                t.state = TaskState::Running;
-                started.push((task.clone(), t.attempt));
-                w.changed = true;
-            }
-        }
-        for (task, attempt) in started {
-            self.started(id, &task, attempt);
+        let tasks = self.workers[id].tasks.iter();
+        let ready = tasks.filter(|(_, t)| t.state == TaskState::Fetching && now >= t.until);
+        let ready: Vec<TaskKey> = ready.map(|(key, _)| key.clone()).collect();
+        for key in ready {
+            self.image_ready(id, &key);
         }
     }
 
-    /// Tasks that ran long enough are done.
-    fn finish_tasks(&mut self, id: &str) {
+    /// Tasks whose time is over exit: those that ran are done, those that waited for their gang
+    /// give up.
+    fn end_tasks(&mut self, id: &str) {
         let now = self.now;
         let mut done = vec![];
         let w = self.workers.get_mut(id).expect("worker");
-        for (task, t) in &mut w.tasks {
-            if t.state == TaskState::Running && now >= t.until {
-                t.state = TaskState::Exited;
-                t.why = Some(ExitCause::Done);
-                done.push(task.clone());
-                w.changed = true;
+        for ((task, _), t) in w.tasks.iter_mut().filter(|(_, t)| now >= t.until) {
+            match t.state {
+                TaskState::Running => {
+                    t.exit(ExitCause::Done);
+                    done.push(task.clone());
+                }
+                TaskState::Gathering => t.exit(ExitCause::Incomplete),
+                _ => continue,
             }
+            w.changed = true;
         }
-        let last: Vec<(String, Ms)> = done.iter().filter_map(|t| self.task_done(t)).collect();
-        for (job, lag) in last {
-            let line = ["cancel-now", &job, "any"];
-            self.later(lag, line.map(str::to_owned).to_vec());
+        for task in done {
+            self.task_done(&task);
         }
     }
 
-    /// Counts a task as done. If it was the last of its job and the user cancels then: how much
-    /// later.
-    fn task_done(&mut self, task: &str) -> Option<(String, Ms)> {
-        let (job, index) = task.split_once('/').expect("task name");
-        let index = index.parse().ok()?;
-        let j = self.jobs.get_mut(job)?;
+    /// Counts a task as done; if it was the last of its job, its user may cancel now.
+    pub(super) fn task_done(&mut self, task: &str) {
+        let (job, index) = split_task(task);
+        let Some(j) = self.jobs.get_mut(job) else {
+            return;
+        };
         let ended = j.finished.insert(index) && j.finished.len() == j.spec.tasks as usize;
-        let lag = j.cancel_at_end.filter(|_| ended)?;
-        Some((job.to_owned(), lag))
+        if let Some(lag) = j.cancel_at_end.filter(|_| ended) {
+            let line = ["cancel-now", job, "any"];
+            self.later(lag, line.map(str::to_owned).to_vec());
+        }
     }
 
     /// A report unanswered for too long: the next node is tried.
