--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -60,22 +60,37 @@
         true
     }
 
-    /// The record that will tell of one more task of the job on the machine. `None`: it is
-    /// full until its next write. `force`: the task is there already and must be told of.
-    pub fn shard_of(&self, m: &Machine, job: &str, force: bool) -> Option<u32> {
+    /// Whether some record can tell of one more task of the job on the machine.
+    pub fn record_has_room(&self, m: &Machine, job: &str) -> bool {
+        let own = m.shard.and_then(|n| self.shards.get(&n));
+        own.is_some_and(|s| s.bytes + s.more(job) <= self.value_bytes)
+            || k::SHARD_HEAD_BYTES + bytes_to_move(m, job) <= self.value_bytes
+    }
+
+    /// The record that will tell of one more task of the job on the machine. A machine whose record
+    /// is full moves to another with all that may be on it. `None`: no record has room for that.
+    /// `force`: the task is there already and must be told of.
+    fn shard_of(&self, m: &Machine, job: &str, force: bool) -> Option<u32> {
         let fits = |s: &Shard| force || s.bytes + s.more(job) <= self.value_bytes;
-        // What may be on a machine stands in one record. An empty machine may change it.
         if let Some(n) = m.shard {
-            let has_room = self.shards.get(&n).is_some_and(fits);
-            if has_room || m.placements.iter().any(Placement::present) {
-                return has_room.then_some(n);
+            if self.shards.get(&n).is_some_and(fits) {
+                return Some(n);
             }
         }
-        let room =
-            |s: &Shard| s.bytes <= self.value_bytes / 2 && s.machines.len() < k::SHARD_MACHINES;
-        // One that waits for others to be stored would keep its tasks waiting as well.
-        let room = |s: &Shard| room(s) && s.successors.is_empty();
-        let open = self.shards.iter().find(|(_, s)| room(s)).map(|(n, _)| *n);
+        let bytes = bytes_to_move(m, job);
+        if k::SHARD_HEAD_BYTES + bytes > self.value_bytes {
+            return None;
+        }
+        let busy = m.placements.iter().any(Placement::present);
+        // A write on its way does not tell of the machine, and once it is answered the old record
+        // would no longer wait. One that waits for others would keep these tasks waiting as well.
+        let takes = |s: &Shard| s.successors.is_empty() && !(busy && s.stored.writing);
+        let roomy = |s: &Shard| s.bytes.max(bytes) <= self.value_bytes / 2;
+        let open = self
+            .shards
+            .iter()
+            .find(|(_, s)| takes(s) && roomy(s) && s.machines.len() < k::SHARD_MACHINES);
+        let open = open.map(|(n, _)| *n);
         open.or_else(|| Some(self.free_number()))
     }
 
@@ -83,14 +98,27 @@
         let m = self.machines.get(machine)?;
         let n = self.shard_of(m, job, force)?;
         let was = m.shard.filter(|was| *was != n);
+        let rows: Vec<String> = m
+            .placements
+            .iter()
+            .filter(|p| p.present())
+            .map(|p| p.job.clone())
+            .collect();
         if let Some(s) = was.and_then(|w| self.shards.get_mut(&w)) {
             s.machines.remove(machine);
             s.stored.stale = true;
+            // What may be on the machine stands here until it stands there.
+            if !rows.is_empty() {
+                s.successors.insert(n);
+            }
         }
         let new = || Shard::new(Stored::absent());
         let s = self.shards.entry(n).or_insert_with(new);
         if s.machines.insert(machine.to_owned()) {
             s.bytes += k::SHARD_MACHINE_BYTES;
+            for job in rows {
+                s.add(self.now_ms, &job);
+            }
         }
         Some(n)
     }
@@ -140,3 +168,14 @@
         }
     }
 }
+
+/// Bytes that a machine and its tasks, with one more of the job, take in a record at most.
+fn bytes_to_move(m: &Machine, job: &str) -> usize {
+    let mut jobs: BTreeSet<&str> = BTreeSet::from([job]);
+    let mut tasks = 1;
+    for p in m.placements.iter().filter(|p| p.present()) {
+        jobs.insert(&p.job);
+        tasks += 1;
+    }
+    k::SHARD_MACHINE_BYTES + tasks * k::SHARD_TASK_BYTES + jobs.len() * k::SHARD_JOB_BYTES
+}
--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -249,7 +249,7 @@
             && spec.types.as_ref().is_none_or(|t| t.contains(&m.kind))
             && !w.bad.contains(&m.id)
             && zone_allows(&self.machines, w, &m.zone)
-            && self.shard_of(m, &spec.id, false).is_some()
+            && self.record_has_room(m, &spec.id)
     }
 
     pub fn usable(&self, ctx: &Ctx, m: &Machine, w: &Work) -> bool {
