--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -211,6 +211,8 @@
             .collect();
         due.sort();
         let most = (self.writes.level(now).max(0.0) as usize).min(self.limits.transaction_writes());
+        // Small records are many: none may be written over in the transaction that wrote it.
+        let most = most.min(k::FAR_SLOTS / 2);
         if due.is_empty() || most == 0 || !self.reads.take(now, 1.0) {
             return;
         }
--- a/crates/control/src/node/relay_tests.rs
+++ b/crates/control/src/node/relay_tests.rs
@@ -87,6 +87,33 @@
     assert!((1..20).contains(&refused), "{refused}");
 }
 
+/// With small values one transaction would hold more records than a node has slots: the last would
+/// take the place of the first, and those reports would never arrive.
+#[test]
+fn no_far_record_takes_the_place_of_another_in_its_transaction() {
+    let mut node = Node::new(settings(60.0, 32), 1);
+    node.limits.lower_value_to(2 * 1024);
+    node.sync = Sync::Live;
+    for n in 0..400 {
+        let id = format!("host-{n}");
+        node.far.insert(id.clone(), (report(&id), true, 0));
+        node.redirected.insert(id, 0);
+    }
+    let mut handed = 0;
+    for turn in 1..100 {
+        let Some((txn, Call::Far { machines, .. })) = sent(&mut node, turn * 100) else {
+            continue;
+        };
+        handed += machines.len();
+        let key = |w: &Write<Value>| match w {
+            Write::Put { key, .. } | Write::Delete { key } => key.clone(),
+        };
+        let keys: HashSet<String> = txn.writes.iter().map(key).collect();
+        assert_eq!(keys.len(), txn.writes.len());
+    }
+    assert!(handed >= 400, "{handed}");
+}
+
 /// A transaction larger than what may be written in a second would be refused whenever it is sent.
 #[test]
 fn a_burst_is_no_larger_than_a_second_allows() {
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -34,7 +34,7 @@
     else echo "ALIVE  $2 passes without its guard"; tail -5 <<<"$out"; bad=1; fi
 }
 mutant run_waits_for_store ran_twice "leader/place.rs" 's/self\.next_attempt, Phase::New/self.next_attempt, Phase::Ready/'
-mutant old_session_report ran_twice "leader/place.rs" 's/if unsent \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if unsent/'
+mutant old_session_report ran_twice "leader/place.rs" 's/if p\.unsent\(\) \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if p.unsent()/'
 mutant late_direct_command ran_twice "leader/command.rs" 's/settled && beat && !open && may_clear\(now, p, cause\)/settled \&\& beat/'
 mutant cancel_races_a_start ran_cancelled "leader/command.rs leader/hear.rs" 's/if open && !p\.inherited \{/if false {/; s/settled && beat && !open && may_clear\(now, p, cause\)/settled \&\& beat/; s/stop\.is_some\(\) && beat && !open/stop.is_some() \&\& beat/'
 mutant stale_node went_back "node/users.rs" 's/if self\.replica\.end_of\(job\)\.is_some\(\) \{\n            let status/if self.replica.jobs.contains_key(job) {\n            let status/'
@@ -98,5 +98,6 @@
 unit_mutant control an_accepted_job_above_the_limit_can node/users.rs 's/\.within\(record_bytes\)//'
 unit_mutant control a_submission_above_the_limit node/users.rs 's/if json_len\(&record\) > self\.record_bytes\(\) \{/if false {/; s/if value_bytes > record_bytes/if false/'
 unit_mutant control refused_far_reports node/relay.rs 's/self\.limits\.size_refused\(size\);/let _ = size;/'
+unit_mutant control no_far_record_takes node/relay.rs 's/most\.min\(k::FAR_SLOTS \/ 2\)/most/'
 unit_mutant control a_burst_is_no_larger node/mod.rs 's/burst\.min\(self\.set\.state_write_rps\)/burst/'
 exit $bad
