--- a/crates/control/src/overdue.rs
+++ b/crates/control/src/overdue.rs
@@ -6,6 +6,7 @@
 use crate::api::Ms;
 use crate::leader::{Ctx, Leader};
 use crate::ledger::{Machine, Work};
+use std::collections::HashMap;
 use stonegw_constants as k;
 use stonegw_wire::msg::JobSpec;
 
@@ -89,13 +90,75 @@
         }
         waiting.sort();
         let roomy = self.roomy(ctx);
+        let kept_for_s = self.kept_for_s(ctx);
         for (_, job, queued) in waiting {
-            while self.place_one_put_off(ctx, &job, &roomy, queued) {}
+            let Some(spec) = self.works.get(&job).map(|w| w.spec.clone()) else {
+                continue;
+            };
+            let run_s = self.sched.mean_s(&spec);
+            // Room kept for another is lent for as long as that one can't start there anyway.
+            let lent = |id: &String| queued && kept_for_s.get(id).is_some_and(|s| run_s <= *s);
+            let lent: Vec<String> = roomy.iter().filter(|id| lent(id)).cloned().collect();
+            while self.place_one_put_off(ctx, &job, &roomy, &lent, queued) {}
+        }
+    }
+
+    /// Machines with room that is kept, and in how many seconds about enough will have ended there
+    /// for the task it is kept for.
+    fn kept_for_s(&mut self, ctx: &Ctx) -> HashMap<String, f64> {
+        let mut out = HashMap::new();
+        for (job, kept) in &self.sched.kept.clone() {
+            let (Kept::Machine(id), Some(w)) = (kept, self.works.get(job)) else {
+                continue;
+            };
+            let spec = w.spec.clone();
+            if let Some(s) = self.room_after_s(ctx, id, &spec) {
+                out.insert(id.clone(), s);
+            }
+        }
+        out
+    }
+
+    /// Seconds until what runs on a machine has left room for a task, by the mean run times. `None`: what
+    /// is there does not end by itself.
+    fn room_after_s(&mut self, ctx: &Ctx, machine: &str, spec: &JobSpec) -> Option<f64> {
+        let m = self.machines.get(machine)?;
+        let (mut cpus, mut gpus, mut memory) = m.free(self.kind(&m.kind)?);
+        let mut ends: Vec<(f64, f64, f64, f64)> = vec![];
+        for p in m.placements.iter().filter(|p| p.present()) {
+            let Some(w) = self.works.get(&p.job).filter(|w| !w.urgent()) else {
+                continue;
+            };
+            let ran_s = p
+                .running_at
+                .map_or(0.0, |at| ctx.now.ms.saturating_sub(at) as f64 / 1e3);
+            // One that has run for longer than the mean may go on for as long again.
+            let left_s = (self.sched.mean_s(&w.spec) - ran_s).abs();
+            ends.push((left_s, p.cpus, p.gpus, p.memory));
+        }
+        ends.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (left_s, c, g, mem) in ends {
+            (cpus, gpus, memory) = (cpus + c, gpus + g, memory + mem);
+            let fits = cpus + k::EPSILON >= spec.cpus
+                && gpus + k::EPSILON >= spec.gpus
+                && memory + k::EPSILON >= spec.memory_gb;
+            if fits {
+                return Some(left_s);
+            }
         }
+        None
     }
 
-    /// `queued`: machines with a queue will do as well.
-    fn place_one_put_off(&mut self, ctx: &Ctx, job: &str, roomy: &[String], queued: bool) -> bool {
+    /// `lent`: machines whose room is kept for another but not needed yet. `queued`: machines with a
+    /// queue will do as well.
+    fn place_one_put_off(
+        &mut self,
+        ctx: &Ctx,
+        job: &str,
+        roomy: &[String],
+        lent: &[String],
+        queued: bool,
+    ) -> bool {
         let Some(w) = self.works.get(job) else {
             return false;
         };
@@ -111,7 +174,7 @@
             (queued || m.held.is_empty())
                 && self.room(m, spec)
                 && self.usable(ctx, m, w)
-                && !self.is_kept(&m.id, job)
+                && (!self.is_kept(&m.id, job) || lent.contains(&m.id))
                 && !self.is_made(ctx.now.ms, &m.id)
         };
         let fit = roomy.iter().filter_map(|id| self.machines.get(id));
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -85,6 +85,7 @@
 mutant waits_in_a_queue waits_beside_room "schedule.rs" 's/self\.place_put_off\(ctx\);/let _ = ctx;/'
 mutant doubted_machine waits_beside_room "leader/silence.rs" 's/filter\(\|m\| !m\.trusted\(\)/filter(|m| m.deaf()/'
 mutant kept_room_beside_work waits_beside_room "leader/place.rs" 's/w\.owed = w\.owed\.saturating_sub\(1\);//'
+mutant kept_room_is_lent waits_beside_room "overdue.rs" 's/ \|\| lent\.contains\(&m\.id\)/ \|\| false \&\& lent.contains(\&m.id)/'
 unit_mutant stonegwd the_lower_of_present_and_next_limits_holds settings.rs 's/if next < now \{ next \} else \{ now \}/now/'
 unit_mutant control a_record_above_the_limit_is_divided leader/store.rs 's/self\.split_large\(\);//'
 unit_mutant control a_divided_record_stays leader/store.rs 's/&& !waits\(s\)/\&\& (true || !waits(s))/'
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -101,6 +101,7 @@
     gap_before_new_leader,
     doubted_machine,
     kept_room_beside_work,
+    kept_room_is_lent,
     odd_in_outage,
     odd_list,
     put_off_beside_room,
