--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -78,7 +78,7 @@
             }
         }
         let bytes = bytes_to_move(m, job);
-        if k::SHARD_HEAD_BYTES + bytes > self.value_bytes {
+        if !force && k::SHARD_HEAD_BYTES + bytes > self.value_bytes {
             return None;
         }
         let busy = m.placements.iter().any(Placement::present);
