Urgent gangs take room reserved for lesser ones before they stop any; gang room is not returned

Cause: with no arrays about, a gang of high priority stopped a running one of normal priority, since reserved room was closed to it; idle machines went back while gangs waited.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -56,6 +56,8 @@
     /// When urgent services arrived of late.
     arrivals: VecDeque<Ms>,
     departures: VecDeque<Ms>,
+    /// Gangs that arrived of late.
+    gangs: Vec<(Ms, JobSpec)>,
     /// Work with a deadline that came of late: when, its CPU-seconds, and how long a task runs.
     came: VecDeque<(Ms, f64, f64)>,
 }
@@ -70,6 +72,30 @@
     free: (f64, f64, f64),
 }
 
+/// Room that is kept for gangs to come, in one zone.
+struct GangRoom {
+    /// The largest gang of late.
+    spec: JobSpec,
+    zone: String,
+    /// Free slots for its tasks in the zone.
+    spare: u32,
+}
+
+impl GangRoom {
+    /// Slots that would go with an idle machine.
+    fn slots(&self, m: &Machine, types: &[MachineType]) -> u32 {
+        let machine_type = types.iter().find(|t| t.name == m.kind);
+        let here = m.zone == self.zone && allowed(&self.spec, &m.kind, &m.zone, m.spot);
+        machine_type
+            .filter(|_| here)
+            .map_or(0, |t| per_machine(t, &self.spec))
+    }
+
+    fn is_short(&self, without: u32) -> bool {
+        self.spare < self.spec.tasks + without
+    }
+}
+
 impl Fleet {
     pub fn new(term: u64, now: Ms) -> Fleet {
         Fleet {
@@ -89,6 +115,7 @@
             usual: None,
             arrivals: VecDeque::new(),
             departures: VecDeque::new(),
+            gangs: vec![],
             came: VecDeque::new(),
         }
     }
@@ -206,6 +233,7 @@
         let types = self.catalog.types.clone();
         let idle_boots = ctx.set.tuning.idle_boots;
         let wait_ms = (ctx.set.lease_s * 3e3) as u64;
+        let mut gang_room = self.gang_room(ctx);
         self.machines.edit_all(|m| {
             let unsettled = m
                 .placements
@@ -240,7 +268,9 @@
                             .map_or(0.0, |t| f64::from(per_machine(t, s))),
                         _ => 0.0,
                     };
-                    let kept = room > 0.0 && spare - room < wanted;
+                    let for_gangs = gang_room.as_ref().map_or(0, |g| g.slots(m, &types));
+                    let short = gang_room.as_ref().is_some_and(|g| g.is_short(for_gangs));
+                    let kept = room > 0.0 && spare - room < wanted || for_gangs > 0 && short;
                     // To rent it again would cost a boot: as long as that it is worth keeping.
                     let boot = types
                         .iter()
@@ -249,6 +279,9 @@
                     let patience = (boot * idle_boots * 1e3) as u64;
                     if now >= since + patience && !kept && !unsettled {
                         spare -= room;
+                        if let Some(g) = &mut gang_room {
+                            g.spare = g.spare.saturating_sub(for_gangs);
+                        }
                         m.set_life(Life::Deleting);
                     }
                 }
@@ -258,6 +291,38 @@
         });
     }
 
+    /// Room for the largest gang of late, in the zone that has most. A gang that has to wait for a
+    /// boot is late; one that finds a zone with room for it is not.
+    fn gang_room(&self, ctx: &Ctx) -> Option<GangRoom> {
+        let recent = |(at, _): &&(Ms, JobSpec)| ctx.now.ms <= at + k::ARRIVALS_MS;
+        let gangs = self.fleet.gangs.iter().filter(recent).map(|(_, spec)| spec);
+        let cpus = |spec: &&JobSpec| f64::from(spec.tasks) * spec.cpus;
+        let spec = gangs.max_by(|a, b| cpus(a).total_cmp(&cpus(b)))?.clone();
+        let mut zones: HashMap<&str, u32> = HashMap::new();
+        for id in self.roomy(ctx) {
+            let Some(m) = self.machines.get(&id) else {
+                continue;
+            };
+            let Some(t) = self.kind(&m.kind) else {
+                continue;
+            };
+            if allowed(&spec, &m.kind, &m.zone, m.spot) {
+                *zones.entry(&m.zone).or_default() += rooms(m.free(t), &spec);
+            }
+        }
+        let (zone, spare) = zones.into_iter().max_by_key(|(_, slots)| *slots)?;
+        let zone = zone.to_owned();
+        Some(GangRoom { spec, zone, spare })
+    }
+
+    /// A gang arrived.
+    pub fn gang_arrival(&mut self, now: Ms, spec: &JobSpec) {
+        self.fleet
+            .gangs
+            .retain(|(at, _)| now <= at + k::ARRIVALS_MS);
+        self.fleet.gangs.push((now, spec.clone()));
+    }
+
     /// Rooms to keep for urgent tasks: a few, and the spread of what arrives during a boot.
     fn spare_wanted(&self, ctx: &Ctx) -> f64 {
         let Some(s) = &self.fleet.usual else {
--- a/crates/control/src/gang/place.rs
+++ b/crates/control/src/gang/place.rs
@@ -19,6 +19,8 @@
 /// Machines for a whole gang, and how good a choice they are; less is better.
 struct Plan {
     shares: Vec<Share>,
+    /// Some of it is reserved for gangs of lower priority.
+    reserved: bool,
     /// s until the last task has its image, in whole seconds.
     fetch_s: i64,
     price: f64,
@@ -26,7 +28,7 @@
 
 impl Plan {
     fn beats(&self, other: &Plan) -> bool {
-        let key = |p: &Plan| (p.fetch_s, p.shares.len());
+        let key = |p: &Plan| (p.reserved, p.fetch_s, p.shares.len());
         (key(self), self.price) < (key(other), other.price)
     }
 }
@@ -35,6 +37,8 @@
 struct Candidate {
     machine: String,
     zone: String,
+    /// For a gang of lower priority.
+    reserved: bool,
     slots: u32,
     fetch_s: i64,
     price: f64,
@@ -182,7 +186,8 @@
             .filter_map(|m| self.candidate(ctx, m, work))
             .collect();
         candidates.sort_by(|a, b| {
-            let key = |c: &Candidate| (c.fetch_s, Reverse(c.slots.min(work.spec.tasks)));
+            let slots = |c: &Candidate| Reverse(c.slots.min(work.spec.tasks));
+            let key = |c: &Candidate| (c.reserved, c.fetch_s, slots(c));
             key(a).cmp(&key(b)).then(a.price.total_cmp(&b.price))
         });
         let tasks = work.spec.tasks;
@@ -220,10 +225,17 @@
         if slots == 0 || queue_first || !self.usable(ctx, m, work) {
             return None;
         }
-        if self.is_kept(&m.id, &spec.id) || self.is_made_for_other(ctx.now.ms, &m.id, &spec.id) {
+        // Urgent gangs take what is kept for lesser work, if need be: the alternative is to stop some.
+        let reserved = self.reserving_priority(&m.id, &spec.id);
+        let kept = match work.urgent() {
+            true => reserved.is_some_and(|priority| priority >= spec.priority),
+            false => self.is_kept(&m.id, &spec.id),
+        };
+        if kept || self.is_made_for_other(ctx.now.ms, &m.id, &spec.id) {
             return None;
         }
         Some(Candidate {
+            reserved: reserved.is_some(),
             machine: m.id.clone(),
             zone: m.zone.clone(),
             slots,
@@ -307,6 +319,7 @@
 ) -> Option<Plan> {
     let mut plan = Plan {
         shares: vec![],
+        reserved: false,
         fetch_s: 0,
         price: 0.0,
     };
@@ -320,6 +333,7 @@
         }
         *here += count;
         left -= count;
+        plan.reserved |= candidate.reserved;
         plan.fetch_s = plan.fetch_s.max(candidate.fetch_s);
         plan.price += candidate.price * f64::from(count);
         plan.shares.push(Share {
--- a/crates/control/src/gang/reserve.rs
+++ b/crates/control/src/gang/reserve.rs
@@ -12,7 +12,7 @@
 use crate::resources::Resources;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use stonegw_constants as k;
-use stonegw_wire::msg::JobKind;
+use stonegw_wire::msg::{JobKind, Priority};
 
 /// What is kept for a gang that waits.
 #[derive(Clone, Debug, PartialEq)]
@@ -292,10 +292,19 @@
         }
     }
 
-    /// Whether a machine, or what its team may still take, is reserved for another gang.
+    /// Whether a machine is reserved for another gang.
     pub fn is_reserved(&self, machine: &str, job: &str) -> bool {
-        let mut others = self.sched.reservations.iter().filter(|(j, _)| *j != job);
-        others.any(|(_, r)| matches!(r, Reservation::Machines(ids) if ids.contains(machine)))
+        self.reserving_priority(machine, job).is_some()
+    }
+
+    /// The priority of the other gang that a machine is reserved for, of the highest if for several.
+    pub(super) fn reserving_priority(&self, machine: &str, job: &str) -> Option<Priority> {
+        let reservations = self.sched.reservations.iter();
+        let others = reservations.filter(|(other, _)| *other != job);
+        let here = others
+            .filter(|(_, r)| matches!(r, Reservation::Machines(ids) if ids.contains(machine)));
+        here.filter_map(|(other, _)| Some(self.works.get(other)?.spec.priority))
+            .max()
     }
 
     /// Whether what a team may still take is reserved for a gang other than `job`.
--- a/crates/control/src/leader/jobs.rs
+++ b/crates/control/src/leader/jobs.rs
@@ -35,6 +35,9 @@
                             self.urgent_arrival(now);
                         }
                     }
+                    if new && spec.kind == JobKind::Gang {
+                        self.gang_arrival(ctx.now.ms, &spec);
+                    }
                     let work = self
                         .works
                         .entry(id.clone())
