--- a/crates/testkit/src/outside/mod.rs
+++ b/crates/testkit/src/outside/mod.rs
@@ -4,7 +4,7 @@
 mod worker;
 
 pub use cloud::Cloud;
-pub use state::State;
+pub use state::{Limits, State};
 pub use worker::{addr_of, GangRunId, Task, TaskKey, Worker};
 
 use stonegw_wire::msg::{encode, ErrorBody};
--- a/crates/testkit/src/outside/state.rs
+++ b/crates/testkit/src/outside/state.rs
@@ -6,6 +6,9 @@
 
 /// Keys on one page of a listing at most (the protocol's limit).
 const LIST_MAX: usize = 1000;
+/// A transaction may have so many conditions for each change, and so many bytes altogether.
+const CONDITIONS_PER_OP: usize = 4;
+const TXN_BYTES: usize = 64 * 1024;
 /// An empty map in MessagePack.
 const EMPTY_MAP: u8 = 0x80;
 
@@ -18,6 +21,41 @@
     }
 }
 
+/// What the state service takes.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Bytes of a value, counted as JSON.
+    pub value_bytes: usize,
+    /// Changes in a transaction.
+    pub txn_ops: usize,
+    /// Changes a second; those of one second may come at once.
+    pub write_rps: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            value_bytes: usize::MAX,
+            txn_ops: usize::MAX / CONDITIONS_PER_OP,
+            write_rps: f64::INFINITY,
+        }
+    }
+}
+
+impl Limits {
+    /// Whether a transaction, its changes and its values are small enough.
+    fn fits(&self, txn: &Txn<Value>) -> bool {
+        let value_fits = |w: &Write<Value>| match w {
+            Write::Put { value, .. } => json_len(value) <= self.value_bytes,
+            Write::Delete { .. } => true,
+        };
+        txn.writes.len() <= self.txn_ops
+            && txn.conditions.len() <= self.txn_ops * CONDITIONS_PER_OP
+            && txn.writes.iter().all(value_fits)
+            && json_len(txn) <= TXN_BYTES
+    }
+}
+
 /// The state service's keys, leases and changes.
 #[derive(Default)]
 pub struct State {
@@ -27,6 +65,9 @@
     /// When each lease ends, and for how long it is renewed.
     leases: BTreeMap<u64, (Ms, Ms)>,
     next_lease: u64,
+    pub limits: Limits,
+    /// Changes made lately, as a level that falls at the rate allowed, and when that was counted.
+    write_level: (f64, Ms),
     log: Vec<(u64, Change<Value>)>,
 }
 
@@ -99,7 +140,7 @@
             ("GET", "/kv") => self.list(path),
             ("GET", "/changes") => return self.watch(path),
             ("GET", p) if p.starts_with("/kv/") => self.read(&p[4..]),
-            ("POST", "/multi") => self.multi(body),
+            ("POST", "/multi") => self.multi(now, body),
             ("POST", "/grants") => self.grant(now, body),
             (_, p) if p.starts_with("/grants/") => self.at_grant(now, method, &p[8..]),
             _ => error(400, "malformed"),
@@ -169,11 +210,17 @@
         (200, vec![EMPTY_MAP])
     }
 
-    fn multi(&mut self, body: &[u8]) -> Answer {
+    fn multi(&mut self, now: Ms, body: &[u8]) -> Answer {
         let txn: Txn<Value> = match decode(body) {
             Ok(t) => t,
             Err(e) => return error(400, &e),
         };
+        if !self.limits.fits(&txn) {
+            return error(400, "too large");
+        }
+        if !self.count_writes(now, txn.writes.len()) {
+            return error(429, "too many changes");
+        }
         let lease_over = |w: &Write<Value>| match w {
             Write::Put { lease, .. } => lease.is_some_and(|l| !self.leases.contains_key(&l)),
             Write::Delete { .. } => false,
@@ -194,6 +241,20 @@
         (status, encode(&TxnAnswer { revision, failed }))
     }
 
+    /// Counts changes against the rate, of which one second's may come at once, or a single one;
+    /// false if they exceed it.
+    fn count_writes(&mut self, now: Ms, changes: usize) -> bool {
+        let rate = self.limits.write_rps;
+        let (level, at) = self.write_level;
+        let fallen = (now - at) as f64 / 1e3 * rate;
+        let level = (level - fallen).max(0.0) + changes as f64;
+        if level > rate.max(1.0) {
+            return false;
+        }
+        self.write_level = (level, now);
+        true
+    }
+
     fn write(&mut self, write: Write<Value>) {
         let version = self.revision;
         let change = match write {
--- a/crates/testkit/src/sim/fault.rs
+++ b/crates/testkit/src/sim/fault.rs
@@ -2,7 +2,7 @@
 use super::event::Call;
 use super::user::Asker;
 use super::{Sim, STATE_MS};
-use crate::outside::Ms;
+use crate::outside::{Limits, Ms};
 use stonegw_wire::msg::*;
 
 /// What a trap does to the transaction that it waits for.
@@ -87,6 +87,21 @@
         self.workers.remove(id);
         self.dead.insert(id.to_owned());
     }
+    /// The cloud takes the machine back with all that is on it, and lists it no more.
+    pub fn take(&mut self, id: &str) {
+        self.workers.remove(id);
+        self.cloud.machines.remove(id);
+    }
+
+    /// The state service takes less from now on; no node is told.
+    pub fn lower_limits(&mut self, value_bytes: usize, txn_ops: usize, write_rps: f64) {
+        self.state.limits = Limits {
+            value_bytes,
+            txn_ops,
+            write_rps,
+        };
+    }
+
     /// Its worker kills and forgets everything.
     pub fn lose_session(&mut self, id: &str) {
         let now = self.now;
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -172,6 +172,7 @@
         for i in 0..nodes {
             sim.at(i as Ms * 20, Step::Restart(i));
         }
+        sim.adopt_limits();
         sim.plan_check();
         sim
     }
@@ -182,6 +183,12 @@
             .push(format!("{:9.3} {text}", self.now as f64 / 1e3));
     }
 
+    /// What a trace expects does not hold.
+    pub fn fail(&mut self, text: String) {
+        let at = self.now as f64 / 1e3;
+        self.failures.push(format!("{at:.1} s: {text}"));
+    }
+
     /// A rule was broken.
     fn broke(&mut self, text: String) {
         self.note(format!("BROKEN {text}"));
--- a/crates/testkit/src/sim/setup.rs
+++ b/crates/testkit/src/sim/setup.rs
@@ -1,6 +1,6 @@
 //! The world as a trace's header lines set it up: nodes, teams, limits, machines.
 use super::{Sim, CANCEL_MS, LEASE_MS, REPORT_MS};
-use crate::outside::{Cloud, Ms};
+use crate::outside::{Cloud, Limits, Ms};
 use std::collections::BTreeMap;
 use stonegw_control::settings::{Settings, Team, Tuning};
 use stonegw_wire::msg::*;
@@ -91,6 +91,7 @@
         for s in &mut self.settings {
             s.state_write_rps = rps;
         }
+        self.adopt_limits();
     }
 
     /// The state service's limit on requests; likewise.
@@ -113,7 +114,26 @@
         for s in &mut self.settings {
             s.value_bytes = bytes;
         }
+        self.adopt_limits();
     }
+    /// How many changes a transaction may take; likewise.
+    pub fn txn_ops(&mut self, ops: usize) {
+        for s in &mut self.settings {
+            s.txn_ops = ops;
+        }
+        self.adopt_limits();
+    }
+
+    /// The state service takes what the nodes are told that it does.
+    pub(super) fn adopt_limits(&mut self) {
+        let s = &self.settings[0];
+        self.state.limits = Limits {
+            value_bytes: s.value_bytes,
+            txn_ops: s.txn_ops,
+            write_rps: s.state_write_rps,
+        };
+    }
+
     /// The cloud also has spot machines of every type, at a third of the price.
     pub fn spot_machines(&mut self) {
         for t in &mut self.cloud.catalog.types {
--- a/crates/testkit/tests/gang_workers.rs
+++ b/crates/testkit/tests/gang_workers.rs
@@ -492,3 +492,63 @@
     w.pass(STARTED_MS);
     assert!(w.broken("wrong_place"), "{:?}", w.sim.broken);
 }
+
+/// Whether the room check finds that a gang nobody starts waits too long, once it is accepted.
+fn waits_beside_room(spec: JobSpec, machines_a: usize, machines_b: usize) -> bool {
+    let mut w = Workers::new(machines_a);
+    for _ in 0..machines_b {
+        w.sim.add_machine("b");
+    }
+    w.sim.submit(spec, 10_000);
+    w.sim.jobs.get_mut(JOB).expect("job").accepted = true;
+    w.sim.calm = Some(1);
+    w.pass(100_000);
+    w.broken("waits_beside_room")
+}
+
+#[test]
+fn a_gang_must_not_wait_beside_room_for_all_of_it() {
+    assert!(waits_beside_room(gang(4), 2, 0));
+    assert!(waits_beside_room(gang(4), 1, 1));
+    let mut spec = gang(4);
+    spec.one_zone = true;
+    assert!(waits_beside_room(spec, 1, 2));
+}
+
+#[test]
+fn a_gang_may_wait_beside_room_for_a_part_of_it() {
+    assert!(!waits_beside_room(gang(5), 2, 0));
+    let mut spec = gang(4);
+    spec.one_zone = true;
+    assert!(!waits_beside_room(spec.clone(), 1, 1));
+    (spec.one_zone, spec.spread) = (false, true);
+    assert!(!waits_beside_room(spec, 2, 0));
+    let mut spec = gang(3);
+    spec.team = "blue".into();
+    assert!(!waits_beside_room(spec, 2, 0));
+}
+
+#[test]
+fn a_gang_may_wait_while_a_task_of_an_old_run_is_on_a_machine() {
+    let mut w = running(2);
+    w.sim.jobs.get_mut(JOB).expect("job").accepted = true;
+    w.sim.calm = Some(1);
+    w.sim.hang(&host(1), 100_000);
+    w.pass(99_000);
+    assert!(!w.broken("waits_beside_room"), "{:?}", w.sim.broken);
+}
+
+#[test]
+fn a_gang_that_waits_in_part_must_not_wait_for_long_beside_room_for_the_rest() {
+    let mut w = Workers::new(2);
+    w.sim.submit(gang(4), 10_000);
+    w.sim.jobs.get_mut(JOB).expect("job").accepted = true;
+    w.sim.calm = Some(1);
+    for attempt in 1..=5 {
+        w.start(0, attempt, 0);
+        w.pass(GANG_WAIT_MS / 2);
+        w.stop(0, attempt, 0, 0.0);
+    }
+    w.pass(STARTED_MS);
+    assert!(w.broken("waits_beside_room"), "{:?}", w.sim.broken);
+}
