--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -38,8 +38,8 @@
 
 /// How long a gang's task waits for the others, and within what time tasks of a running gang
 /// notice that one is gone.
-pub const GANG_WAIT_MS: Ms = 45_000;
-pub const GANG_PEER_MS: Ms = 4_000;
+pub const GANG_WAIT_MS: Ms = 35_000;
+pub const GANG_PEER_MS: Ms = 8_000;
 
 /// The job and the number of a task.
 fn split_task(task: &str) -> (&str, u32) {
--- a/crates/testkit/tests/gang_workers.rs
+++ b/crates/testkit/tests/gang_workers.rs
@@ -546,7 +546,7 @@
     w.sim.calm = Some(1);
     for attempt in 1..=5 {
         w.start(0, attempt, 0);
-        w.pass(GANG_WAIT_MS / 2);
+        w.pass(20_000);
         w.stop(0, attempt, 0, 0.0);
     }
     w.pass(STARTED_MS);
