--- a/crates/testkit/src/sim/event.rs
+++ b/crates/testkit/src/sim/event.rs
@@ -110,6 +110,7 @@
             self.at(at, Step::Script(i));
         }
     }
+
     /// Another line of the script, so much later.
     pub fn later(&mut self, lag: Ms, line: Vec<String>) {
         let when = self.now + lag;
--- a/crates/testkit/src/sim/fault.rs
+++ b/crates/testkit/src/sim/fault.rs
@@ -46,6 +46,7 @@
         let at = self.traps.iter().position(waits)?;
         Some(self.traps.remove(at))
     }
+
     /// How late this transaction arrives, if it is one of the late ones: 2 to 12 s, which is after
     /// its sender gave it up.
     pub(super) fn late_write(&mut self) -> Option<Ms> {
@@ -64,6 +65,7 @@
             .filter(|l| self.now < l.1)
             .map_or(0, |l| l.0 / 2)
     }
+
     /// How much later and where a copy of this report arrives, if it is one of those.
     pub(super) fn late_report(&mut self) -> Option<(Ms, usize)> {
         let (every, from, to, _) = self.late_reports.filter(|l| self.now < l.3)?;
@@ -72,6 +74,7 @@
         let node = copy as usize % self.nodes.len();
         (self.reports_seen % every == 0).then(|| (spaced(copy, from, to), node))
     }
+
     /// The machine stands still, with all that is on it, and goes on later.
     pub fn hang(&mut self, id: &str, lag: Ms) {
         let until = self.now + lag;
@@ -82,11 +85,13 @@
             }
         }
     }
+
     /// The machine stops with all that is on it; the cloud still lists it.
     pub fn die(&mut self, id: &str) {
         self.workers.remove(id);
         self.dead.insert(id.to_owned());
     }
+
     /// The cloud takes the machine back with all that is on it, and lists it no more.
     pub fn take(&mut self, id: &str) {
         self.workers.remove(id);
@@ -110,6 +115,7 @@
         }
         self.worker_due(id, now);
     }
+
     /// Its process ends and is back at once: a new session, and nothing of the old one.
     pub fn restart_machine(&mut self, id: &str) {
         self.lose_session(id);
@@ -117,6 +123,7 @@
             w.images.clear();
         }
     }
+
     /// Delivers the kept report to a node; nobody waits for the answer.
     pub fn deliver_kept(&mut self, node: usize) {
         if let Some(body) = self.kept.pop_front() {
--- a/crates/testkit/src/sim/network.rs
+++ b/crates/testkit/src/sim/network.rs
@@ -10,11 +10,13 @@
         let name = &self.settings[to].node;
         self.settings[from].peers.iter().position(|p| p == name)
     }
+
     /// Whether a node and a machine in a zone can reach each other.
     pub(super) fn apart(&self, node: usize, zone: &str) -> bool {
         let cut = self.zone_cut.as_ref().filter(|c| self.now < c.2);
         cut.is_some_and(|(z, inside, _)| (zone == z) != (node == *inside))
     }
+
     /// Two nodes lose the links between them, and dial anew when the cut is over.
     pub fn cut_peers(&mut self, a: usize, b: usize, lag: Ms) {
         let until = self.now + lag;
@@ -25,10 +27,12 @@
             self.at(until, Step::LinkUp(node, self.lives[node], other));
         }
     }
+
     pub(super) fn links_cut(&self, a: usize, b: usize) -> bool {
         let until = self.cut_peers.get(&(a.min(b), a.max(b)));
         until.is_some_and(|until| self.now < *until)
     }
+
     pub(super) fn nodes_apart(&self, a: usize, b: usize) -> bool {
         if self.links_cut(a, b) {
             return true;
--- a/crates/testkit/src/sim/odd.rs
+++ b/crates/testkit/src/sim/odd.rs
@@ -32,6 +32,7 @@
         };
         self.ask(ask, node, method, &path, body);
     }
+
     pub(super) fn odd_answered(
         &mut self,
         kind: Odd,
--- a/crates/testkit/src/sim/rule.rs
+++ b/crates/testkit/src/sim/rule.rs
@@ -15,6 +15,7 @@
 pub(super) fn half(spec: &JobSpec) -> u32 {
     spec.tasks.div_ceil(2)
 }
+
 /// Whether a job may run on such a machine, its other tasks aside.
 pub(super) fn allowed(spec: &JobSpec, kind: &str, zone: &str, spot: bool) -> bool {
     let types = spec.types.as_ref();
@@ -93,6 +94,7 @@
             self.broke(format!("wrong_place {task} in {zone}: {zones:?}"));
         }
     }
+
     /// How many of its tasks are on machines in each zone.
     pub(super) fn zones_of(&self, job: &str) -> BTreeMap<String, u32> {
         let mut zones = BTreeMap::new();
@@ -105,6 +107,7 @@
         }
         zones
     }
+
     /// A team's use grows only when a task starts: it is added up anew only where, with all that
     /// started since the last time, it could be over the limit.
     pub(super) fn check_team(&mut self, team: &str, cpus: f64) {
--- a/crates/testkit/src/sim/user.rs
+++ b/crates/testkit/src/sim/user.rs
@@ -120,6 +120,7 @@
             self.broke(format!("forgotten {id}: no question answered for 75 s"));
         }
     }
+
     /// Where the load balancer sends the next question.
     pub fn any_node(&mut self) -> Option<usize> {
         let alive: Vec<usize> = (0..self.nodes.len())
@@ -131,6 +132,7 @@
         self.turn += 1;
         Some(alive[(self.turn + self.turn / alive.len()) % alive.len()])
     }
+
     /// The user asks to cancel in this moment, at that node first.
     pub fn cancel_now(&mut self, id: &str, node: usize) {
         self.jobs.get_mut(id).expect("job").cancel_asked = true;
@@ -176,6 +178,7 @@
         self.next_ask += 1;
         self.next_ask
     }
+
     pub(super) fn ask(&mut self, ask: u64, node: usize, method: &str, path: &str, body: Vec<u8>) {
         let request = Request {
             method: method.into(),
--- a/crates/testkit/src/trace/mod.rs
+++ b/crates/testkit/src/trace/mod.rs
@@ -6,11 +6,11 @@
 //! | --- | --- |
 //! | `nodes N` | controllers (3 if not said) |
 //! | `machines N ZONE` | machines up at the start |
-//! | `write-rps N` | changes a second that the state service takes |
+//! | `write-rps N` | changes a second that nodes are told the state service takes; it takes 60 at least |
 //! | `state-rps N` | requests a second that it takes |
 //! | `team NAME N MOST` | its guarantee and limit, in CPUs |
-//! | `txn-ops N` | changes that a transaction may take |
-//! | `value-bytes N` | bytes a record may take; little makes one record a machine |
+//! | `txn-ops N` | changes that nodes are told a transaction may take; 8 at least pass |
+//! | `value-bytes N` | bytes that nodes are told a record may take; little makes one record a machine; 8192 at least pass |
 //! | `wire S` | how long a message takes between nodes, and between them and workers and users |
 //! | `spot-machines` | the cloud has them too |
 //! | `capacity N` | machines the cloud has at most |
