--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -2,7 +2,7 @@
 //! catalogue and the refusals observed; names of requests carry the term and are never reused.
 use crate::api::{CallError, CallResult, Ms, Target};
 use crate::leader::{Ctx, Leader, Stage};
-use crate::ledger::{Life, Machine, Phase};
+use crate::ledger::{Life, Machine, Phase, Work};
 use crate::node::describe;
 use crate::settings::Bucket;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -669,11 +669,24 @@
             if spec.one_zone && spec.zone.is_none() {
                 spec.zone = self.roomiest_zone(&spec, bins);
             }
-            wanted.push((spec, work.spec.tasks as usize));
+            let tasks = work.spec.tasks + self.useless_slots(work, &spec);
+            wanted.push((spec, tasks as usize));
         }
         wanted
     }
 
+    /// Free slots that the sizing counts on machines where the job failed or that don't hear us.
+    fn useless_slots(&self, work: &Work, spec: &JobSpec) -> u32 {
+        let useless = |m: &&Machine| work.bad.contains(&m.id) || !m.trusted();
+        let machines = self.machines.values().filter(|m| m.life == Life::Up);
+        let machines = machines.filter(useless);
+        let suits = |m: &&Machine| allowed(spec, &m.kind, &m.zone, m.spot);
+        machines
+            .filter(suits)
+            .filter_map(|m| Some(rooms(m.free(self.kind(&m.kind)?), spec)))
+            .sum()
+    }
+
     fn roomiest_zone(&self, spec: &JobSpec, bins: &[Bin]) -> Option<String> {
         let zones = self.catalog.types.iter().flat_map(|t| &t.zones);
         let slots = |zone: &String| -> u32 {
