--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -355,6 +355,8 @@
 /// ms that a gang waits for leftover room before machines are reserved for it: as long as it takes
 /// one mapping to pass it over.
 pub const GANG_RESERVE_MS: u64 = 1_000;
+/// One in so many machines may be reserved for gangs that are not urgent.
+pub const GANG_RESERVE_PART: usize = 4;
 /// ms for which room is reserved for a gang at most, and the pause after: smaller work must not wait
 /// 90 s beside room that is kept.
 pub const GANG_RESERVED_MAX_MS: u64 = 45_000;
--- a/crates/control/src/gang/reserve.rs
+++ b/crates/control/src/gang/reserve.rs
@@ -3,8 +3,8 @@
 //!
 //! The design has deadline-free work fill leftover room. None is ever left over for a whole gang
 //! while single tasks keep arriving, so a gang that waits has machines reserved, as many as it
-//! needs. Only one gang that is not urgent reserves machines in a zone at a time, so no two gangs
-//! each keep half of what both need.
+//! needs. A machine is reserved for one gang only and a gang reserves nothing or enough for all its
+//! tasks, so no two gangs each keep half of what both need.
 use crate::api::Ms;
 use crate::leader::{Ctx, Leader};
 use crate::ledger::{Machine, Work};
@@ -36,7 +36,6 @@
         let waiting = self.waiting_gangs(ctx);
         let waits: BTreeSet<&String> = waiting.iter().collect();
         self.sched.reservations.retain(|job, _| waits.contains(job));
-        let mut zones_taken: BTreeSet<String> = BTreeSet::new();
         let roomy = self.roomy(ctx);
         for job in &waiting {
             let Some(work) = self.works.get(job) else {
@@ -45,7 +44,7 @@
             if work.gang_waited_ms(ctx) < k::GANG_RESERVE_MS || self.place_gang(ctx, job, &roomy) {
                 continue;
             }
-            self.reserve(ctx, job, &mut zones_taken);
+            self.reserve(ctx, job);
             let Some(work) = self.works.get(job) else {
                 continue;
             };
@@ -56,7 +55,7 @@
         }
     }
 
-    fn reserve(&mut self, ctx: &Ctx, job: &str, zones_taken: &mut BTreeSet<String>) {
+    fn reserve(&mut self, ctx: &Ctx, job: &str) {
         if !self.may_reserve(ctx.now.ms, job) {
             self.sched.reservations.remove(job);
             return;
@@ -71,15 +70,19 @@
             }
             return;
         }
-        if let Some(kept) = self.suitable_reservation(ctx, job) {
-            zones_taken.extend(self.zones_of_machines(&kept));
+        if self.suitable_reservation(ctx, job) {
             return;
         }
         self.sched.reservations.remove(job);
-        let Some(machines) = self.machines_to_reserve(ctx, job, zones_taken) else {
+        let Some(machines) = self.machines_to_reserve(ctx, job) else {
             return;
         };
-        zones_taken.extend(self.zones_of_machines(&machines));
+        // Most of the fleet goes on with single tasks. A gang that needs more than that part has it to
+        // itself.
+        let others = self.reserved_machines();
+        if others > 0 && others + machines.len() > self.machines.len() / k::GANG_RESERVE_PART {
+            return;
+        }
         log::debug!("gang {job} has {} machines reserved", machines.len());
         for id in &machines {
             self.clear_queue(id);
@@ -117,41 +120,40 @@
         services + whole(work) <= team.cpus_max + k::EPSILON
     }
 
-    /// The machines reserved for a gang, if they will have room for all of it. More urgent work may
-    /// have taken some of that.
-    fn suitable_reservation(&self, ctx: &Ctx, job: &str) -> Option<BTreeSet<String>> {
+    /// Whether the machines reserved for a gang will have room for all of it. More urgent work may have
+    /// taken some of that.
+    fn suitable_reservation(&self, ctx: &Ctx, job: &str) -> bool {
         let Some(Reservation::Machines(kept)) = self.sched.reservations.get(job) else {
-            return None;
+            return false;
+        };
+        let Some(work) = self.works.get(job) else {
+            return false;
         };
-        let work = self.works.get(job)?;
         let machines = kept.iter().filter_map(|id| self.machines.get(id));
         let usable = machines.filter(|m| self.usable(ctx, m, work));
         let no_run_times = HashMap::new();
         let slots: usize = usable
             .map(|m| self.slots_to_come(ctx.now.ms, m, work, &no_run_times).len())
             .sum();
-        (slots >= work.spec.tasks as usize).then(|| kept.clone())
+        slots >= work.spec.tasks as usize
     }
 
-    fn zones_of_machines(&self, ids: &BTreeSet<String>) -> BTreeSet<String> {
-        let machines = ids.iter().filter_map(|id| self.machines.get(id));
-        machines.map(|m| m.zone.clone()).collect()
+    fn reserved_machines(&self) -> usize {
+        let reservations = self.sched.reservations.values();
+        let counts = reservations.map(|r| match r {
+            Reservation::Machines(ids) => ids.len(),
+            Reservation::Team(_) => 0,
+        });
+        counts.sum()
     }
 
-    /// The machines on which a gang would have its room soonest, in a zone where no other gang
-    /// reserves any.
-    fn machines_to_reserve(
-        &mut self,
-        ctx: &Ctx,
-        job: &str,
-        zones_taken: &BTreeSet<String>,
-    ) -> Option<BTreeSet<String>> {
+    /// The machines on which a gang would have its room soonest.
+    fn machines_to_reserve(&mut self, ctx: &Ctx, job: &str) -> Option<BTreeSet<String>> {
         let run_ms = self.mean_run_ms();
         let work = self.works.get(job)?;
         let mut by_zone: BTreeMap<&str, Vec<Slot>> = BTreeMap::new();
         for m in self.machines.values() {
-            let taken = zones_taken.contains(&m.zone) || self.is_kept(&m.id, job);
-            if taken || !self.usable(ctx, m, work) {
+            if self.is_kept(&m.id, job) || !self.usable(ctx, m, work) {
                 continue;
             }
             let zone = if work.spec.one_zone {
