--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -128,5 +128,6 @@
     gangs_compete_for_room,
     gang_leader_change_while_running,
     gang_done_seen_by_half,
+    gang_task_fails,
     state_limits_lowered,
 );
