Urgent work takes room kept for lesser work in each pass, not only when something woke it

Cause: an urgent replica waited 46 s beside free room that was reserved for a gang of low priority: the pass of each second treated it like lesser work.

--- a/crates/control/src/schedule.rs
+++ b/crates/control/src/schedule.rs
@@ -423,6 +423,8 @@
                 return true;
             };
             let late = w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0);
+            // Also when its turn comes with the others: room kept for lesser work must not stop it.
+            let urgent = urgent || immediate(w) && w.urgent();
             let index = if immediate(w) || late {
                 w.pending.first().copied()
             } else {
