--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -9,6 +9,8 @@
 use stonegw_wire::msg::{decode, encode, Change, Changes, Entry, Listing, Txn, TxnAnswer, Write};
 
 const STEP_MS: u64 = 50;
+/// Steps after which what was awaited never comes.
+const PATIENCE_STEPS: usize = 1_000;
 /// Enough for a node to be live and to have read the releases once.
 const FIRST_READ_MS: u64 = 1_500;
 const ROUND_MS: u64 = k::GATE_READ_MS + 500;
@@ -36,6 +38,8 @@
     answers: Vec<(u64, u64, CallResult)>,
     /// The most items on a page of a listing.
     page: usize,
+    /// Every transaction sent, whatever became of it.
+    transactions: Vec<Vec<u8>>,
     /// The keys of each transaction that reached the service.
     written: Vec<Vec<String>>,
     /// When the releases were read.
@@ -87,6 +91,7 @@
             revision: 1,
             answers: vec![],
             page: usize::MAX,
+            transactions: vec![],
             written: vec![],
             release_reads: vec![],
             replies: BTreeMap::new(),
@@ -149,6 +154,16 @@
         }
     }
 
+    fn run_until(&mut self, reached: impl Fn(&World) -> bool) {
+        for _ in 0..PATIENCE_STEPS {
+            if reached(self) {
+                return;
+            }
+            self.run(STEP_MS);
+        }
+        panic!("never reached");
+    }
+
     fn perform(&mut self, action: Action) {
         match action {
             Action::Reply {
@@ -185,6 +200,9 @@
         if path.starts_with("/kv?prefix=v/") {
             self.release_reads.push(self.now);
         }
+        if path == "/multi" {
+            self.transactions.push(body.to_vec());
+        }
         match self.service {
             Service::Up => self.carry_out(path, body),
             Service::Refuses(status) => Some((status, encode(&json!({"error": "trouble"})))),
@@ -426,14 +444,10 @@
     let mut w = World::new();
     w.run_release("node-1");
     w.run_release("node-2");
-    while w.release_reads.is_empty() {
-        w.run(STEP_MS);
-    }
+    w.run_until(|w| !w.release_reads.is_empty());
     // The read is answered; the transaction is carried out without an answer.
     w.service = Service::LosesAnswers;
-    while w.written.is_empty() {
-        w.run(STEP_MS);
-    }
+    w.run_until(|w| !w.written.is_empty());
     w.service = Service::Up;
     w.run(k::STATE_TIMEOUT_MS + ROUND_MS + 500);
     assert!(w.open());
@@ -442,15 +456,23 @@
 
 #[test]
 fn a_transaction_that_comes_late_or_twice_changes_nothing() {
-    let mut w = World::new();
-    w.run(FIRST_READ_MS);
-    let stored = w.keys["v/node-0"].clone();
-    let late = encode(&json!({
-        "if": [{"path": "v/node-0", "stamp": 0}],
-        "writes": [{"set": "v/node-0", "v": {"release": k::RELEASE}}],
-    }));
-    assert_eq!(w.transact(&late).0, 409);
-    assert_eq!(w.keys["v/node-0"], stored);
+    for before in [None, Some(k::RELEASE - 1)] {
+        let mut w = World::new();
+        if let Some(release) = before {
+            w.put("v/node-0", json!({"release": release}));
+        }
+        w.run_until(|w| !w.release_reads.is_empty());
+        w.service = Service::Silent;
+        w.run_until(|w| !w.transactions.is_empty());
+        let late = w.transactions[0].clone();
+        // Meanwhile a later release runs on the node.
+        let higher = json!({"release": k::RELEASE + 1});
+        w.put("v/node-0", higher.clone());
+        for _ in 0..2 {
+            assert_eq!(w.transact(&late).0, 409);
+            assert_eq!(w.keys["v/node-0"].0, higher);
+        }
+    }
 }
 
 #[test]
