--- /dev/null
+++ b/crates/control/tests/production.rs
@@ -0,0 +1,24 @@
+//! What this version stores before its gate opens has the form of the version in production, and what
+//! that one stored is read. `crates/testkit/capture-production.sh` writes the fixtures.
+#[path = "../../wire/tests/fixtures/compare.rs"]
+mod compare;
+#[path = "fixtures/records.rs"]
+mod records;
+#[path = "../../wire/tests/fixtures/values.rs"]
+#[allow(dead_code)]
+mod values;
+
+const FIXTURES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/production");
+
+#[test]
+fn records_have_the_production_form() {
+    let mut compare = compare::Compare::new(FIXTURES);
+    records::records(&mut compare);
+    compare.all_compared();
+}
+
+#[test]
+fn the_largest_record_is_near_the_limit() {
+    let bytes = stonegw_wire::msg::json_len(&records::largest_shard());
+    assert!((8_000..=8_192).contains(&bytes), "{bytes}");
+}
--- /dev/null
+++ b/crates/testkit/capture/main.rs
@@ -0,0 +1,61 @@
+//! Writes the fixtures. `capture-production.sh` compiles it in the version in production, beside
+//! copies of the files that say which values.
+mod records;
+mod values;
+
+use serde::{de::DeserializeOwned, Serialize};
+use std::fmt::Debug;
+use std::path::PathBuf;
+use stonegw_wire::frame::Frame;
+use stonegw_wire::msg::encode;
+
+/// Bytes on one line of a file.
+const LINE_BYTES: usize = 40;
+
+struct Capture {
+    dir: PathBuf,
+}
+
+impl Capture {
+    fn write(&self, file: &str, text: &str) {
+        std::fs::write(self.dir.join(file), text).expect("a file to write");
+    }
+
+    fn write_hex(&self, name: &str, bytes: &[u8]) {
+        let mut text = String::new();
+        for line in bytes.chunks(LINE_BYTES) {
+            let digits: Vec<String> = line.iter().map(|byte| format!("{byte:02x}")).collect();
+            text.push_str(&digits.concat());
+            text.push('\n');
+        }
+        self.write(&format!("{name}.hex"), &text);
+    }
+}
+
+impl values::Visitor for Capture {
+    fn message<T: Serialize + DeserializeOwned + PartialEq + Debug>(&mut self, name: &str, v: &T) {
+        self.write_hex(name, &encode(v));
+        let json = serde_json::to_string(v).expect("JSON");
+        self.write(&format!("{name}.json"), &format!("{json}\n"));
+    }
+
+    fn frame(&mut self, name: &str, frame: &Frame) {
+        let mut bytes = vec![];
+        frame.write(&mut bytes);
+        self.write_hex(&format!("frame_{name}"), &bytes);
+    }
+}
+
+fn main() {
+    let dirs: Vec<PathBuf> = std::env::args().skip(1).map(PathBuf::from).collect();
+    let [wire, control] = dirs.as_slice() else {
+        panic!("usage: capture WIRE_DIR CONTROL_DIR");
+    };
+    let mut capture = Capture { dir: wire.clone() };
+    values::messages(&mut capture);
+    values::frames(&mut capture);
+    let mut capture = Capture {
+        dir: control.clone(),
+    };
+    records::records(&mut capture);
+}
