--- a/crates/control/src/ledger_tests.rs
+++ b/crates/control/src/ledger/machines_tests.rs
@@ -1,3 +1,5 @@
+use super::super::sums::Shown;
+use super::super::{Life, Phase, Placement};
 use super::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
