--- a/crates/control/src/resources.rs
+++ b/crates/control/src/resources.rs
@@ -39,6 +39,12 @@
 
     /// How many times `need` fits into this much room.
     pub fn times(&self, need: &Resources) -> u32 {
+        self.ratio(need)
+            .clamp(0.0, f64::from(stonegw_wire::msg::MAX_TASKS)) as u32
+    }
+
+    /// How many times `need` fits, in parts and without an upper limit.
+    pub fn ratio(&self, need: &Resources) -> f64 {
         let ratio = |have: f64, need: f64| {
             if need > k::EPSILON {
                 (have + k::EPSILON) / need
@@ -49,7 +55,6 @@
         ratio(self.cpus, need.cpus)
             .min(ratio(self.gpus, need.gpus))
             .min(ratio(self.memory_gb, need.memory_gb))
-            .clamp(0.0, f64::from(stonegw_wire::msg::MAX_TASKS)) as u32
     }
 }
 
