--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -21,7 +21,7 @@
     else echo "ALIVE  $1 does not break $2"; tail -5 <<<"$out"; bad=1; fi
 }
 mutant run_waits_for_store ran_twice "leader/place.rs" 's/self\.next_attempt, Phase::New/self.next_attempt, Phase::Ready/'
-mutant old_session_report ran_twice "leader/place.rs" 's/if unsent \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if unsent/'
+mutant old_session_report ran_twice "leader/place.rs" 's/if p\.unsent\(\) \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if p.unsent()/'
 mutant late_direct_command ran_twice "leader/command.rs" 's/settled && beat && !open && may_clear\(now, p, cause\)/settled \&\& beat/'
 mutant cancel_races_a_start ran_cancelled "leader/command.rs leader/hear.rs" 's/if open && !p\.inherited \{/if false {/; s/settled && beat && !open && may_clear\(now, p, cause\)/settled \&\& beat/; s/stop\.is_some\(\) && beat && !open/stop.is_some() \&\& beat/'
 mutant stale_node went_back "node/users.rs" 's/if self\.replica\.end_of\(job\)\.is_some\(\) \{\n            let status/if self.replica.jobs.contains_key(job) {\n            let status/'
