--- a/crates/control/src/ledger/machine.rs
+++ b/crates/control/src/ledger/machine.rs
@@ -45,9 +45,11 @@
     pub addr: Option<String>,
     /// The name of its type in the catalogue.
     pub kind: String,
+    /// The zone it is in.
     pub zone: String,
     /// Rented as a spot machine.
     pub spot: bool,
+    /// How far it is between rental and return.
     pub life: Life,
     /// The worker's session, as last reported.
     pub session: u64,
@@ -59,6 +61,7 @@
     pub far: bool,
     /// The last report was made under our token.
     pub under_token: bool,
+    /// Whether what we say reaches it.
     pub reach: Reach,
     /// Not asked anew whether it hears us before.
     pub inspect_at: Ms,
--- a/crates/control/src/ledger/placement.rs
+++ b/crates/control/src/ledger/placement.rs
@@ -22,12 +22,15 @@
     Fetching,
     /// Has its image and waits for the other tasks of its gang.
     Gathering,
+    /// Runs, as far as its worker has told.
     Running,
     /// Told to stop, and saves its state.
     Saving,
     /// Not on the machine any more. `settled`: what follows from it is stored.
     Exited {
+        /// Why it ended.
         cause: ExitCause,
+        /// What follows from it is stored.
         settled: bool,
     },
 }
@@ -35,13 +38,21 @@
 /// One attempt of one task on one machine: what it takes, how far it is, what it was told.
 #[derive(Clone, Debug)]
 pub struct Placement {
+    /// The job it is of.
     pub job: String,
+    /// The task's number in its job.
     pub index: u32,
+    /// The number of the attempt; a gang's tasks share theirs.
     pub attempt: u64,
+    /// How far it is.
     pub phase: Phase,
+    /// CPUs it takes.
     pub cpus: f64,
+    /// Accelerator cards it takes.
     pub gpus: f64,
+    /// Memory it takes, in GB.
     pub memory: f64,
+    /// The team whose limit it counts towards.
     pub team: String,
     /// Stored by an earlier leader.
     pub inherited: bool,
--- a/crates/control/src/ledger/stored.rs
+++ b/crates/control/src/ledger/stored.rs
@@ -36,11 +36,13 @@
 /// The record that tells of a group of machines.
 #[derive(Clone, Debug)]
 pub struct Shard {
+    /// Its copy in the store.
     pub stored: Stored,
     /// The machines it tells of.
     pub machines: BTreeSet<String>,
-    /// Bytes of JSON it takes at most, and the jobs counted in them.
+    /// Bytes of JSON it takes at most.
     pub bytes: usize,
+    /// The jobs counted in `bytes`.
     pub jobs: HashSet<String>,
     /// Urgent work waits for its write.
     pub urgent: bool,
@@ -89,6 +91,7 @@
 /// A chunk of a job's finished tasks.
 #[derive(Clone, Debug)]
 pub struct Chunk {
+    /// Its copy in the store.
     pub stored: Stored,
     /// Since when it has to be written.
     pub since: Ms,
--- a/crates/control/src/ledger/work.rs
+++ b/crates/control/src/ledger/work.rs
@@ -71,7 +71,7 @@
         Some(due - (wall_ms as f64 - self.at as f64) / 1e3)
     }
 
-    /// Whether it may push lesser work aside: high priority, and every service.
+    /// Whether it is urgent: of high priority, or a service.
     pub fn urgent(&self) -> bool {
         self.spec.priority >= Priority::High || self.spec.kind == JobKind::Service
     }
