--- a/crates/control/src/gang_tests.rs
+++ b/crates/control/src/gang_tests.rs
@@ -48,7 +48,10 @@
 #[test]
 fn a_gang_waits_only_when_all_its_tasks_are_gone() {
     assert_eq!(state(&[]), GangState::Waiting);
-    assert_eq!(state(&[member(0, 5, Phase::Sent)]), GangState::Ending);
+    let mut left = [member(0, 5, Phase::Sent)];
+    assert_eq!(state(&left), GangState::Ending);
+    left[0].stopping = true;
+    assert_eq!(state(&left), GangState::Ending);
 }
 
 /// The time at which it began to run must not move while it runs.
--- a/crates/control/src/leader/split_tests.rs
+++ b/crates/control/src/leader/split_tests.rs
@@ -242,3 +242,112 @@
     let open = records::JobRecord::submitted(&spec, 5);
     assert_eq!(open.within(10).spec, Some(spec));
 }
+
+/// Six machines with tasks share a record that has no room for one more task.
+fn full_record(world: &mut World) -> Leader {
+    let mut leader = world.lead(2);
+    add_machines(&mut leader, 1..7);
+    for n in 0.. {
+        let job = format!("run-{n}");
+        // Only what is stored was measured; before, it counts for more than it takes.
+        for _ in 0..30 {
+            world.turn(&mut leader);
+        }
+        let record = leader.shards.get(&0);
+        if record.is_some_and(|s| s.bytes + s.more(&job) > SMALL) {
+            break;
+        }
+        world.submit(&mut leader, &job, 1);
+        assert!(leader.place(&machine(1 + n % 6), &job, 0));
+    }
+    assert_eq!(leader.shards.len(), 1);
+    assert!(!leader.shards.values().any(Shard::due));
+    leader
+}
+
+fn add_machines(leader: &mut Leader, numbers: std::ops::Range<usize>) {
+    for id in numbers.map(machine) {
+        let new = || Machine::new(&id, "small", "a", false, 0);
+        leader.machines.add(&id, new);
+    }
+}
+
+/// The busy machine is placed on and moves from its full record to another, which waits for company
+/// before it is written; tidying up the full one does not.
+fn move_busy_machine(world: &mut World, leader: &mut Leader) {
+    world.submit(leader, "run-99", 1);
+    assert!(leader.place(&machine(1), "run-99", 0));
+    let record = leader.machines.get(&machine(1)).and_then(|m| m.shard);
+    assert!(record.is_some_and(|n| n != 0), "not moved");
+    leader.batch_at = world.ms + 1_000;
+    leader.tidy_at = world.ms;
+}
+
+fn one_transaction(world: &mut World, leader: &mut Leader) {
+    let before = world.transactions;
+    for _ in 0..100 {
+        world.turn(leader);
+        assert_all_told(world, leader);
+        if world.transactions > before {
+            return;
+        }
+    }
+    panic!("nothing was written");
+}
+
+/// Whatever may be on a machine stands in a stored record.
+fn assert_all_told(world: &World, leader: &Leader) {
+    let told = told(&world.state);
+    for m in leader.machines.values() {
+        let sendable = |p: &&Placement| p.present() && p.phase != Phase::New;
+        for p in m.placements.iter().filter(sendable) {
+            let key = (m.id.clone(), p.attempt);
+            assert!(told.contains_key(&key), "in no record: {key:?}");
+        }
+    }
+}
+
+fn assert_moved(world: &mut World, leader: &mut Leader) {
+    for _ in 0..60 {
+        world.turn(leader);
+        assert_all_told(world, leader);
+    }
+    let m = leader.machines.get(&machine(1)).expect("there");
+    assert!(m.placements.iter().all(|p| p.phase == Phase::Ready));
+    assert!(told(&world.state).values().all(|n| *n == 1));
+    assert!(!leader.shards.values().any(Shard::due));
+    assert_held_once(leader);
+}
+
+/// A busy machine whose record is full moves to another. Until that one is surely stored the old one
+/// must go on telling of it, also when nobody knows whether the transaction was carried out: a new
+/// leader would start its tasks a second time.
+#[test]
+fn a_busy_machine_stays_in_its_full_record_until_the_next_is_stored() {
+    for answers in [Answers::AtOnce, Answers::Lost, Answers::Silent] {
+        let mut world = World::new(StateService::default(), SMALL, 8);
+        let mut leader = full_record(&mut world);
+        move_busy_machine(&mut world, &mut leader);
+        world.answers = answers;
+        one_transaction(&mut world, &mut leader);
+        world.answers = Answers::AtOnce;
+        assert_moved(&mut world, &mut leader);
+    }
+}
+
+/// A record that is being written does not yet tell of a machine that moves into it. Were it chosen,
+/// the answer to that write would be taken for the proof that it does.
+#[test]
+fn a_busy_machine_moves_to_no_record_that_is_being_written() {
+    let mut world = World::new(StateService::default(), SMALL, 8);
+    let mut leader = full_record(&mut world);
+    add_machines(&mut leader, 9..10);
+    world.submit(&mut leader, "run-98", 1);
+    assert!(leader.place(&machine(9), "run-98", 0));
+    world.answers = Answers::Late;
+    one_transaction(&mut world, &mut leader);
+    assert!(leader.shards.values().any(|s| s.stored.writing));
+    move_busy_machine(&mut world, &mut leader);
+    world.answers = Answers::AtOnce;
+    assert_moved(&mut world, &mut leader);
+}
--- a/crates/control/src/leader/world_tests.rs
+++ b/crates/control/src/leader/world_tests.rs
@@ -39,6 +39,19 @@
             })
     }
 
+    fn read(&self, key: &str) -> (u16, Vec<u8>) {
+        let Some((value, version)) = self.keys.get(key) else {
+            return (404, vec![]);
+        };
+        let entry = Entry {
+            key: key.to_owned(),
+            value: value.clone(),
+            version: *version,
+            lease: None,
+        };
+        (200, encode(&entry))
+    }
+
     fn apply(&mut self, txn: Txn<Value>) -> (u16, Vec<u8>) {
         let large = |w: &Write<Value>| match w {
             Write::Put { value, .. } => json_len(value) > self.value_bytes,
@@ -73,8 +86,22 @@
     }
 }
 
+/// What becomes of transactions and their answers.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Answers {
+    AtOnce,
+    /// Transactions are carried out; their answers come once others come at once again.
+    Late,
+    /// Transactions are carried out, their answers lost.
+    Lost,
+    /// Transactions are lost.
+    Silent,
+}
+
 pub struct World {
     pub state: StateService,
+    pub answers: Answers,
+    late: Vec<(Call, CallResult)>,
     pub set: Settings,
     pub limits: StoreLimits,
     pub ms: Ms,
@@ -142,6 +169,8 @@
         };
         World {
             state,
+            answers: Answers::AtOnce,
+            late: vec![],
             limits: StoreLimits::new(&set),
             set,
             ms: 1_000,
@@ -205,22 +234,40 @@
         };
         leader.now_ms = ctx.now.ms;
         leader.lower_value_bytes(ctx.limits.value_bytes());
+        if self.answers == Answers::AtOnce {
+            for (call, result) in std::mem::take(&mut self.late) {
+                leader.call_done(&mut ctx, call, result);
+            }
+        }
         leader.flush(&mut ctx);
         let actions = std::mem::take(&mut ctx.out.actions);
         let sent = std::mem::take(ctx.calls);
         for (action, (_, call)) in actions.into_iter().zip(sent) {
-            let crate::api::Action::Call { body, .. } = action else {
+            let crate::api::Action::Call { path, body, .. } = action else {
                 continue;
             };
+            if let Some(key) = path.strip_prefix("/kv/") {
+                let answer = self.state.read(key);
+                leader.call_done(&mut ctx, call, Ok(answer));
+                continue;
+            }
             let txn: Txn<Value> = decode(&body).expect("a transaction");
             let pause = self.refused_at.map_or(Ms::MAX, |at| self.ms - at);
             assert!(pause >= k::STATE_RETRY_MS, "busy: again after {pause} ms");
             self.transactions += 1;
             self.most_writes = self.most_writes.max(txn.writes.len());
+            if self.answers == Answers::Silent {
+                leader.call_done(&mut ctx, call, Err(CallError::Unknown));
+                continue;
+            }
             let answer = self.state.apply(txn);
             self.refused += usize::from(answer.0 == 400);
             self.refused_at = (answer.0 != 200).then_some(self.ms);
-            leader.call_done(&mut ctx, call, Ok(answer));
+            match self.answers {
+                Answers::Late => self.late.push((call, Ok(answer))),
+                Answers::Lost => leader.call_done(&mut ctx, call, Err(CallError::Unknown)),
+                Answers::AtOnce | Answers::Silent => leader.call_done(&mut ctx, call, Ok(answer)),
+            }
         }
     }
 }
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -130,5 +130,9 @@
     gang_leader_change_while_running,
     gang_done_seen_by_half,
     gang_task_fails,
+    gang_half_stored,
+    gang_lost_before_start,
+    gang_stop_unheard,
+    gang_never_whole,
     state_limits_lowered,
 );
