--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -33,7 +33,7 @@
     if grep -q "panicked" <<<"$out"; then echo "ok     $2 fails without its guard"
     else echo "ALIVE  $2 passes without its guard"; tail -5 <<<"$out"; bad=1; fi
 }
-mutant run_waits_for_store ran_twice "leader/place.rs" 's/self\.next_attempt, Phase::New/self.next_attempt, Phase::Ready/'
+mutant run_waits_for_store ran_twice "leader/place.rs" 's/Placement::new\(job, index, attempt, Phase::New\)/Placement::new(job, index, attempt, Phase::Ready)/'
 mutant old_session_report ran_twice "leader/place.rs" 's/if p\.unsent\(\) \|\| p\.inherited && !inherited_too/let _ = inherited_too;\n                if p.unsent()/'
 mutant late_direct_command ran_twice "leader/command.rs" 's/settled && beat && !open && may_clear\(now, p, cause\)/settled \&\& beat/'
 mutant cancel_races_a_start ran_cancelled "leader/command.rs leader/hear.rs" 's/if open && !p\.inherited \{/if false {/; s/settled && beat && !open && may_clear\(now, p, cause\)/settled \&\& beat/; s/stop\.is_some\(\) && beat && !open/stop.is_some() \&\& beat/'
@@ -86,6 +86,15 @@
 mutant doubted_machine waits_beside_room "leader/silence.rs" 's/filter\(\|m\| !m\.trusted\(\)/filter(|m| m.deaf()/'
 mutant kept_room_beside_work waits_beside_room "leader/place.rs" 's/w\.owed = w\.owed\.saturating_sub\(1\);//'
 mutant kept_room_is_lent waits_beside_room "overdue.rs" 's/ \|\| lent\.contains\(&m\.id\)/ \|\| false \&\& lent.contains(\&m.id)/'
+mutant gang_half_stored expect "leader/store.rs" 's/if in_gang \{/if false \&\& in_gang {/'
+mutant gang_half_stored expect "gang/mod.rs" 's/if current\.clone\(\)\.any\(\|m\| m\.phase == Phase::New\)/if false/'
+mutant gang_hung_member ran_twice "gang/place.rs gang/mod.rs" 's/if self\.machines\.present_of\(job\)\.next\(\)\.is_some\(\)/if false/; s/members\.iter\(\)\.map\(\|m\| m\.attempt\)\.max\(\)/members.iter().filter(|m| !m.stopping).map(|m| m.attempt).max()/'
+mutant gang_lost_before_start expect "gang/mod.rs" 's/GangState::Ending => self\.stop_members\(&members, job, 0\.0\),/GangState::Ending => {}/'
+mutant gang_start quota "gang/place.rs" 's/(fn allows_whole.*?)let others = .*?;/$1let others = 0.0;/s'
+mutant gang_done_seen_by_half expect "leader/hear.rs" 's/if w\.gang\.is_some\(\) \{/if false \&\& w.gang.is_some() {/'
+mutant gang_stopped_in_time expect "gang/mod.rs" 's/(fn stop_gang.*?)self\.stop_members\(&members,/$1self.stop_members(\&members[..1],/s'
+mutant gang_stop_unheard expect "gang/mod.rs" 's/self\.saves\(job\) && self\.all_reachable\(ctx, &members\)/self.saves(job)/'
+mutant gang_never_whole expect "gang/reserve.rs" 's/filter\(\|_\| slots\.len\(\) == tasks\)/filter(|_| true)/'
 unit_mutant stonegwd the_lower_of_present_and_next_limits_holds settings.rs 's/if next < now \{ next \} else \{ now \}/now/'
 unit_mutant control a_record_above_the_limit_is_divided leader/store.rs 's/self\.split_large\(\);//'
 unit_mutant control a_divided_record_stays leader/store.rs 's/&& !waits\(s\)/\&\& (true || !waits(s))/'
@@ -101,4 +110,10 @@
 unit_mutant control refused_far_reports node/relay.rs 's/self\.limits\.size_refused\(size\);/let _ = size;/'
 unit_mutant control no_far_record_takes node/relay.rs 's/most\.min\(k::FAR_SLOTS \/ 2\)/most/'
 unit_mutant control a_burst_is_no_larger node/mod.rs 's/burst\.min\(self\.set\.state_write_rps\)/burst/'
+unit_mutant control a_gang_waits_only_when_all gang/mod.rs 's/members\.iter\(\)\.map\(\|m\| m\.attempt\)\.max\(\)/members.iter().filter(|m| !m.stopping).map(|m| m.attempt).max()/'
+unit_mutant control an_attempt_that_lost_a_task gang/mod.rs 's/return GangState::Ending;//'
+unit_mutant control tasks_of_an_earlier_attempt gang/mod.rs 's/m\.attempt == attempt && !m\.stopping/!m.stopping/'
+unit_mutant control before_it_opens_nothing_new node/gate.rs 's/self\.state == State::Open\n/true\n/'
+unit_mutant control a_busy_machine_stays leader/place.rs 's/s\.successors\.insert\(n\);//'
+unit_mutant control a_busy_machine_moves leader/place.rs 's/ && !\(busy && s\.stored\.writing\)/ \&\& (busy || true)/'
 exit $bad
