--- a/crates/control/src/schedule/first_fit.rs
+++ b/crates/control/src/schedule/first_fit.rs
@@ -136,8 +136,6 @@
                 return true;
             };
             let late = w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0);
-            // Also when its turn comes with the others: room kept for lesser work must not stop it.
-            let urgent = urgent || immediate(w) && w.urgent();
             let index = if immediate(w) || late {
                 w.pending.first().copied()
             } else {
@@ -150,12 +148,14 @@
             }
             // Urgent work first pushes lesser work aside elsewhere: a gang's room takes long to gather.
             let age = ctx.now.wall_ms.saturating_sub(w.at);
-            let spares_gangs = urgent && age < k::RESERVED_WAIT_MS;
+            let takes_kept = urgent || w.urgent();
+            let spares_gangs = takes_kept && age < k::RESERVED_WAIT_MS;
             let takes = |m: &Machine| {
                 (m.held.is_empty() || urgent)
                     && self.room(m, spec)
                     && self.usable(ctx, m, w)
-                    && (urgent || !self.is_kept(&m.id, job) && !self.is_made(ctx.now.ms, &m.id))
+                    && (takes_kept || !self.is_kept(&m.id, job))
+                    && (urgent || !self.is_made(ctx.now.ms, &m.id))
                     && !(spares_gangs && self.is_reserved(&m.id, job))
             };
             // Once one of its tasks is there, a machine is the best for the next as well.
