--- a/crates/testkit/src/outside/worker.rs
+++ b/crates/testkit/src/outside/worker.rs
@@ -82,6 +82,8 @@
     pub images: BTreeMap<String, Ms>,
     /// Seconds' notice it reports.
     pub notice_s: Option<f64>,
+    /// The cloud takes the machine back then, and its worker reports how long that is off.
+    pub taken_at: Option<Ms>,
     /// Its steps count from here; the next at which it looks at itself.
     pub grid: Ms,
     pub turn_at: Ms,
@@ -113,6 +115,7 @@
             tasks: BTreeMap::new(),
             images: BTreeMap::new(),
             notice_s: None,
+            taken_at: None,
             grid: up,
             turn_at: Ms::MAX,
             hangs_until: 0,
@@ -120,8 +123,9 @@
     }
 
     /// The next report.
-    pub fn report(&mut self) -> Report {
+    pub fn report(&mut self, now: Ms) -> Report {
         self.seq += 1;
+        let left = self.taken_at.map(|at| at.saturating_sub(now) as f64 / 1e3);
         Report {
             machine: self.id.clone(),
             addr: addr_of(&self.id),
@@ -131,7 +135,7 @@
             session: self.session,
             seq: self.seq,
             token: self.token,
-            notice_s: self.notice_s,
+            notice_s: left.or(self.notice_s),
             tasks: self
                 .tasks
                 .iter()
--- a/crates/testkit/src/sim/command.rs
+++ b/crates/testkit/src/sim/command.rs
@@ -65,7 +65,8 @@
     }
 
     fn answer_report(&mut self, caller: Caller, id: &str, status: u16) {
-        let report = self.workers.get_mut(id).expect("worker").report();
+        let now = self.now;
+        let report = self.workers.get_mut(id).expect("worker").report(now);
         self.answer(caller, self.wire_ms, (status, encode(&report)));
     }
 
--- a/crates/testkit/src/sim/fault.rs
+++ b/crates/testkit/src/sim/fault.rs
@@ -29,7 +29,6 @@
     pub ms: Ms,
 }
 
-/// Values from one bound to the other that differ much from one to the next, always the same.
 /// Values from one bound to the other that differ much from one to the next, always the same.
 pub(super) fn spaced(n: u64, from: Ms, to: Ms) -> Ms {
     from + n * 37 % 100 * (to - from) / 100
@@ -59,6 +58,26 @@
         })
     }
 
+    /// Whether the answer to this transaction, which is carried out, is one of the lost ones.
+    pub(super) fn lost_answer(&mut self) -> bool {
+        let Some((every, _)) = self.lost_answers.filter(|l| self.now < l.1) else {
+            return false;
+        };
+        self.answers_seen += 1;
+        let lost = self.answers_seen % every == 0;
+        if lost {
+            self.note("the answer to a transaction is lost".into());
+        }
+        lost
+    }
+
+    /// How much later the job that arrives now is cancelled, if it is one of those.
+    pub fn cancel_lag(&mut self) -> Option<Ms> {
+        let (every, within) = self.cancel_share?;
+        self.jobs_seen += 1;
+        (self.jobs_seen % every == 0).then(|| spaced(self.jobs_seen / every, 0, within))
+    }
+
     /// How much longer the state service takes each way.
     pub(super) fn state_lag(&self) -> Ms {
         self.slow_state
@@ -98,6 +117,17 @@
         self.cloud.machines.remove(id);
     }
 
+    /// The cloud will take the machine back so much later, and says so.
+    pub fn recall(&mut self, id: &str, lag: Ms) {
+        let now = self.now;
+        if let Some(w) = self.workers.get_mut(id) {
+            w.taken_at = Some(now + lag);
+            w.changed = true;
+        }
+        self.worker_due(id, now);
+        self.later(lag, vec!["take".into(), id.to_owned()]);
+    }
+
     /// The state service takes less from now on; no node is told.
     pub fn lower_limits(&mut self, value_bytes: usize, txn_ops: usize, write_rps: f64) {
         self.state.limits = Limits {
--- a/crates/testkit/src/sim/gang.rs
+++ b/crates/testkit/src/sim/gang.rs
@@ -369,6 +369,14 @@
         workers.map(|w| w.id.clone()).collect()
     }
 
+    /// How many tasks of a job are on spot machines, exited ones aside.
+    pub fn tasks_on_spot(&self, job: &str) -> usize {
+        let spot = self.workers.values().filter(|w| w.spot);
+        let tasks = spot.flat_map(|w| &w.tasks);
+        let own = tasks.filter(|((task, _), t)| job_of(task) == job && t.present());
+        own.count()
+    }
+
     /// How many tasks of a job are in that state, on all machines.
     pub fn tasks_in(&self, job: &str, state: TaskState) -> usize {
         let tasks = self.workers.values().flat_map(|w| &w.tasks);
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -86,6 +86,15 @@
     /// have been seen.
     pub late_writes: Option<(u64, Ms)>,
     writes_seen: u64,
+    /// One in so many transactions is carried out at once, but its answer is lost, until; and how
+    /// many have been seen.
+    pub lost_answers: Option<(u64, Ms)>,
+    answers_seen: u64,
+    /// One in so many jobs that arrive is cancelled within so long; and how many have arrived since.
+    pub cancel_share: Option<(u64, Ms)>,
+    jobs_seen: u64,
+    /// Until when users ask at all nodes right after each answer that a job was accepted or ended.
+    pub close_looks: Option<Ms>,
     /// A copy of one in so many reports arrives so much later, at each node in turn: how many, from and
     /// to how much later, until; and how many have been seen.
     pub late_reports: Option<(u64, Ms, Ms, Ms)>,
@@ -150,6 +159,11 @@
             slow_state: None,
             late_writes: None,
             writes_seen: 0,
+            lost_answers: None,
+            answers_seen: 0,
+            cancel_share: None,
+            jobs_seen: 0,
+            close_looks: None,
             late_reports: None,
             reports_seen: 0,
             mute: BTreeMap::new(),
--- a/crates/testkit/src/sim/odd.rs
+++ b/crates/testkit/src/sim/odd.rs
@@ -14,6 +14,8 @@
     Impossible,
     /// Malformed: 400, whatever else goes on.
     Malformed,
+    /// A question about an accepted job: its present state.
+    Look,
     /// Nobody submitted it: 404.
     Unknown,
 }
@@ -27,7 +29,7 @@
             .insert(ask, Asker::Odd(kind, job.into(), self.now));
         let (method, path) = match kind {
             Odd::CancelDone => ("POST", format!("/submissions/{job}/cancel")),
-            Odd::Unknown => ("GET", format!("/submissions/{job}")),
+            Odd::Look | Odd::Unknown => ("GET", format!("/submissions/{job}")),
             _ => ("POST", "/submissions".into()),
         };
         self.ask(ask, node, method, &path, body);
@@ -49,12 +51,16 @@
         let state = decode::<JobStatus>(body).ok().map(|s| s.state);
         let busy = matches!(status, 0 | 429 | 503 | 504);
         match (kind, status) {
-            (Odd::Repeat | Odd::CancelDone, 200) if ended.is_none() && state.is_some() => {}
-            (Odd::Repeat | Odd::CancelDone, 200) if state.is_some() && ended == state => {}
-            (Odd::Repeat | Odd::CancelDone, 200) => {
+            (Odd::Repeat | Odd::Look | Odd::CancelDone, 200)
+                if ended.is_none() && state.is_some() => {}
+            (Odd::Repeat | Odd::Look | Odd::CancelDone, 200)
+                if state.is_some() && ended == state => {}
+            (Odd::Repeat | Odd::Look | Odd::CancelDone, 200) => {
                 self.broke(format!("went_back {what}, {state:?} after {ended:?}"));
             }
-            (Odd::Repeat | Odd::CancelDone, _) if !busy => self.broke(format!("forgotten {what}")),
+            (Odd::Repeat | Odd::Look | Odd::CancelDone, _) if !busy => {
+                self.broke(format!("forgotten {what}"))
+            }
             (Odd::Unknown, 200) => self.broke(format!("invented {what}")),
             (Odd::Unknown, 404) | (Odd::Impossible, 422) | (Odd::Malformed, 400) => {}
             (Odd::Malformed, s) if s != 0 => self.broke(format!("bad_answer {what}")),
--- a/crates/testkit/src/sim/room.rs
+++ b/crates/testkit/src/sim/room.rs
@@ -54,7 +54,7 @@
                 *usage.team_cpus.entry(&spec.team).or_default() += spec.cpus;
                 *usage.job_tasks.entry(job).or_default() += 1;
             }
-            if w.grid <= self.now && w.notice_s.is_none() {
+            if w.grid <= self.now && w.notice_s.is_none() && w.taken_at.is_none() {
                 usage.free.push(Free {
                     worker: w,
                     cpus: cpus + MARGIN,
--- a/crates/testkit/src/sim/state_calls.rs
+++ b/crates/testkit/src/sim/state_calls.rs
@@ -44,6 +44,9 @@
                 trap.key
             ));
         }
+        if call.path == "/multi" && self.lost_answer() {
+            return;
+        }
         let mut lag = STATE_MS + self.state_lag();
         if let Some(trap) = slow {
             self.note(format!(
--- a/crates/testkit/src/sim/user.rs
+++ b/crates/testkit/src/sim/user.rs
@@ -10,6 +10,9 @@
 /// After the troubles no job's questions go unanswered for longer.
 const FORGOTTEN_MS: Ms = 75_000;
 const ASK_AGAIN_MS: Ms = 2_000;
+/// How soon after an answer the close looks follow.
+const CLOSE_LOOKS_MS: [Ms; 3] = [1, 4, 9];
+
 /// What users know of a job.
 pub struct Job {
     pub spec: JobSpec,
@@ -209,6 +212,7 @@
         if matches!(status, 200 | 201) && !j.accepted {
             j.accepted = true;
             self.note(format!("{id} accepted with {status}"));
+            self.look_closely(id);
         }
     }
 
@@ -234,6 +238,20 @@
         }
     }
 
+    /// Right after an answer, questions and repeated submissions reach all nodes: none may answer
+    /// something older.
+    fn look_closely(&mut self, id: &str) {
+        if self.close_looks.is_none_or(|until| self.now >= until) {
+            return;
+        }
+        for lag in CLOSE_LOOKS_MS {
+            for kind in ["look", "repeat"] {
+                let line = ["odd", "all", kind, id];
+                self.later(lag, line.map(str::to_owned).to_vec());
+            }
+        }
+    }
+
     /// The user is told for the first time that the job has ended.
     fn told_end(&mut self, id: &str, state: JobPhase) {
         let now = self.now;
@@ -247,6 +265,7 @@
         let missing = j.finished.len() < j.spec.tasks as usize;
         let asked = j.cancel_asked;
         self.note(format!("{id} is told {state:?}"));
+        self.look_closely(id);
         if state == JobPhase::Done && missing {
             self.broke(format!("not_done {id}"));
         }
--- a/crates/testkit/src/sim/worker.rs
+++ b/crates/testkit/src/sim/worker.rs
@@ -161,7 +161,7 @@
         w.changed = false;
         w.next_report = now + REPORT_MS;
         w.flying = Some((ask, now));
-        let (node, report) = (w.node, w.report());
+        let (node, report) = (w.node, w.report(now));
         let unheard = apart || until(&self.cut, id, now) || until(&self.mute, id, now);
         if !unheard {
             self.asks.insert(ask, Asker::Worker(id.into()));
--- a/crates/testkit/src/trace/act.rs
+++ b/crates/testkit/src/trace/act.rs
@@ -53,6 +53,10 @@
             let lag = ms_or(word(line, 2), 0);
             sim.jobs.get_mut(id).expect("job").cancel_at_end = Some(lag);
         }
+        "cancel-share" => {
+            sim.cancel_share = Some((one_in(id), ms(word(line, 2))));
+        }
+        "close-looks" => sim.close_looks = Some(sim.now + ms(id)),
         "odd" => odd(sim, line),
         "probe" => {
             let node = id.parse().expect("node");
@@ -74,6 +78,9 @@
     job[0] = "submit".into();
     job[1] = format!("run-{}", first + left);
     act(sim, &job);
+    if let Some(lag) = sim.cancel_lag() {
+        sim.later(lag, vec!["cancel".into(), job[1].clone()]);
+    }
     let mut next = line.to_vec();
     next[2] = (left - 1).to_string();
     sim.later(ms(word(line, 1)), next);
@@ -128,6 +135,10 @@
             let until = sim.now + ms(word(line, 2));
             sim.late_writes = Some((one_in(word(line, 1)), until));
         }
+        "lost-answers" => {
+            let until = sim.now + ms(word(line, 2));
+            sim.lost_answers = Some((one_in(word(line, 1)), until));
+        }
         "lower-limits" => sim.lower_limits(number(1), number(2), number(3) as f64),
         "deliver-watch" => {
             for n in targets(sim, word(line, 1)) {
@@ -158,6 +169,7 @@
     let event: fn(&mut Sim, &str, Ms) = match word(line, 0) {
         "hang" => Sim::hang,
         "die" => |sim, id, _| sim.die(id),
+        "recall" => Sim::recall,
         "take" => |sim, id, _| sim.take(id),
         "restart" => |sim, id, _| sim.restart_machine(id),
         "new-session" => |sim, id, _| sim.lose_session(id),
@@ -196,8 +208,9 @@
             }
         }
         "keep-report" => {
+            let now = sim.now;
             for id in machines(sim, word(line, 1)) {
-                let report = sim.workers.get_mut(&id).expect("machine").report();
+                let report = sim.workers.get_mut(&id).expect("machine").report(now);
                 sim.kept.push_back(stonegw_wire::msg::encode(&report));
             }
         }
--- a/crates/testkit/src/trace/expect.rs
+++ b/crates/testkit/src/trace/expect.rs
@@ -61,6 +61,7 @@
         "fetching" => sim.tasks_in(id, TaskState::Fetching) == count(line),
         "gathering" => sim.tasks_in(id, TaskState::Gathering) == count(line),
         "running" => sim.tasks_in(id, TaskState::Running) == count(line),
+        "on-spot" => sim.tasks_on_spot(id) == count(line),
         status => job.status.to_string() == status,
     }
 }
--- a/crates/testkit/src/trace/mod.rs
+++ b/crates/testkit/src/trace/mod.rs
@@ -13,10 +13,12 @@
 //! | `value-bytes N` | bytes that nodes are told a record may take; little makes one record a machine; 8192 at least pass |
 //! | `wire S` | how long a message takes between nodes, and between them and workers and users |
 //! | `spot-machines` | the cloud has them too |
+//! | `boot S` | how long machines that are rented take to be up (10 if not said) |
 //! | `capacity N` | machines the cloud has at most |
 //! | `T submit JOB KIND N [key value]...` | keys: cpus, gb, run, estimate, due, team, zone, type, one-zone, spread, spot, priority, image, checkpoint, save |
 //! | `T cancel JOB` | its user asks to cancel |
 //! | `T cancel-now JOB N` | likewise, in this very moment and at that node |
+//! | `T cancel-share SHARE S` | from now on such a share of the jobs that `arrive` is cancelled, up to so long after its submission |
 //! | `T cancel-at-end JOB [LAG]` | its user cancels in the moment its last task ends, or so much later |
 //! | `T crash leader\|all\|N [BACK]` | the process ends, back after so many seconds (4) |
 //! | `T trap crash-before\|crash-after KEY [BACK]` | the process ends before or after the next transaction on such a key |
@@ -26,6 +28,7 @@
 //! | `T refuse leader\|all\|N S` | the state service answers it 503 |
 //! | `T hang MACHINE S` | it stands still with its tasks; what is sent to it arrives afterwards |
 //! | `T die MACHINE` | it stops with all that is on it |
+//! | `T recall MACHINE S` | its worker reports that notice, which runs down; then the cloud takes the machine back |
 //! | `T take MACHINE` | the cloud takes it back, with all that is on it |
 //! | `T fail TASK` | it exits with an error |
 //! | `T cut MACHINE S` | the machine's network; what is sent to it arrives afterwards |
@@ -37,6 +40,7 @@
 //! | `T slow-state S LAG` | for that time the state service's answers take so much longer |
 //! | `T lower-limits BYTES OPS RATE` | the state service refuses larger values and transactions from now on, and more changes a second; no node is told |
 //! | `T late-writes SHARE S` | for that time such a share of transactions gets no answer and is carried out 2 to 12 s later |
+//! | `T lost-answers SHARE S` | for that time such a share of transactions is carried out at once, but its answer is lost |
 //! | `T late-reports SHARE FROM TO S` | for that time such a share of reports arrives once more, so much later, at each node in turn |
 //! | `T deaf MACHINE S` | its reports arrive, answers don't; commands arrive afterwards |
 //! | `T copy-reports MACHINE LAG` | from now on its reports arrive once more so much later, elsewhere |
@@ -50,6 +54,8 @@
 //! | `T keep-report MACHINE` / `T deliver-kept N` | a report now made arrives at a node then |
 //! | `T hold-do MACHINE S` | only direct commands to it are held back |
 //! | `T probe N METHOD PATH` | a stray request; its status is logged |
+//! | `T close-looks S` | for that time, right after each answer that a job was accepted or ended, users ask at all nodes within milliseconds and repeat its submission |
+//! | `T odd N look JOB` | a question about an accepted job |
 //! | `T odd N repeat\|cancel-done JOB` | a submission once more; the cancel of a job that is done |
 //! | `T odd N impossible KIND N [key value]...` | a submission that can never run |
 //! | `T odd N no-field FIELD` / `bad-field FIELD VALUE` / `list` / `no-message` | a malformed one |
@@ -58,6 +64,7 @@
 //! | `T expect JOB started-within S` | that much after its submission a task had started; of a gang, all |
 //! | `T expect JOB attempts N` / `starts N` | at most so many attempts were begun; a gang started exactly so often |
 //! | `T expect JOB fetching N` / `gathering N` / `running N` | so many of its tasks are in that state, on all machines |
+//! | `T expect JOB on-spot N` | so many of its tasks are on spot machines |
 //! | `T expect JOB saved S` | at least so much of a gang's progress is safe |
 //! | `T expect JOB gone` | none of its tasks is left anywhere |
 //! | `T expect-log TEXT` / `T expect-no-log TEXT` | what the log holds by then |
@@ -102,6 +109,7 @@
             }
             "txn-ops" => sim.txn_ops(l[1].parse().expect("changes")),
             "value-bytes" => sim.value_bytes(l[1].parse().expect("bytes")),
+            "boot" => sim.cloud.boot_ms = ms(&l[1]),
             "capacity" => sim.cloud.capacity = l[1].parse().expect("capacity"),
             "until" => until = ms(&l[1]),
             "wire" => sim.wire_ms = ms(&l[1]),
--- a/crates/testkit/src/trace/odd.rs
+++ b/crates/testkit/src/trace/odd.rs
@@ -21,6 +21,7 @@
             let spec = &sim.jobs[arg].spec;
             (Odd::Repeat, arg.to_owned(), encode(spec))
         }
+        "look" => (Odd::Look, arg.to_owned(), vec![]),
         "cancel-done" => (Odd::CancelDone, arg.to_owned(), vec![]),
         "unknown" => (Odd::Unknown, name, vec![]),
         // The rest of the line says what the job is like.
--- a/crates/testkit/tests/gang_workers.rs
+++ b/crates/testkit/tests/gang_workers.rs
@@ -68,8 +68,9 @@
         machine: u32,
     ) -> (TaskState, Option<ExitCause>, Option<bool>) {
         let name = format!("{JOB}/{index}");
+        let now = self.sim.now;
         let w = self.sim.workers.get_mut(&host(machine)).expect("machine");
-        let tasks = w.report().tasks;
+        let tasks = w.report(now).tasks;
         let shown = tasks
             .iter()
             .find(|t| t.task == name && t.attempt == attempt);
