--- a/crates/control/src/fleet/dated.rs
+++ b/crates/control/src/fleet/dated.rs
@@ -7,6 +7,7 @@
 use crate::api::Ms;
 use crate::leader::{Ctx, Leader};
 use crate::ledger::Life;
+use crate::resources::Resources;
 use stonegw_constants as k;
 use stonegw_wire::msg::JobSpec;
 
@@ -17,6 +18,26 @@
     eta_s: f64,
 }
 
+/// The task that most of the waiting work consists of, by CPU time.
+fn usual_task(dated: &[DatedDemand]) -> Option<&JobSpec> {
+    let cpu_seconds = |d: &DatedDemand| d.tasks as f64 * d.spec.cpus * d.run_s;
+    let most = dated
+        .iter()
+        .max_by(|a, b| cpu_seconds(a).total_cmp(&cpu_seconds(b)));
+    most.map(|demand| &demand.spec)
+}
+
+/// The free CPUs that such tasks can use with the memory that is free beside them.
+fn cpus_with_memory(free: &Resources, usual: &JobSpec) -> f64 {
+    let memory_only = Resources {
+        cpus: 0.0,
+        gpus: 0.0,
+        memory_gb: usual.memory_gb,
+    };
+    let usable = f64::from(free.times(&memory_only)) * usual.cpus;
+    free.cpus.min(usable).max(0.0)
+}
+
 impl Leader {
     /// Work with a deadline came, so long ago.
     pub fn dated_arrival(&mut self, now: Ms, age_ms: u64, spec: &JobSpec) {
@@ -57,7 +78,10 @@
         boot_s: f64,
     ) {
         dated.sort_by(|a, b| a.due_s.total_cmp(&b.due_s));
-        let mut capacities = self.dated_capacities(&plan.rooms);
+        let Some(usual) = usual_task(&dated) else {
+            return;
+        };
+        let mut capacities = self.dated_capacities(&plan.rooms, usual);
         let have: f64 = capacities.iter().map(|c| c.cpus).sum();
         let mut work = self.dated_running();
         for demand in dated {
@@ -96,8 +120,10 @@
         }
     }
 
-    /// The CPUs that deadline work may use: all but those of deadline-free tasks.
-    fn dated_capacities(&self, rooms: &[Room]) -> Vec<Capacity> {
+    /// The CPUs that deadline work may use: all but those of deadline-free tasks, and those beside
+    /// which the machine has no memory for the usual task. Counting these as well would leave work
+    /// that waits for memory without machines until it is late.
+    fn dated_capacities(&self, rooms: &[Room], usual: &JobSpec) -> Vec<Capacity> {
         let used: f64 = self
             .machines
             .values()
@@ -111,7 +137,7 @@
             .map(|p| p.cpus)
             .sum();
         let free = rooms.iter().map(|room| Capacity {
-            cpus: room.free.cpus.max(0.0),
+            cpus: cpus_with_memory(&room.free, usual),
             eta_s: room.eta_s,
         });
         let used = Capacity {
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -144,4 +144,5 @@
     gang_cancel_meets_end,
     gang_late_reports,
     spot_machines,
+    dated_work_waits_for_memory,
 );
