--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -53,7 +53,7 @@
 }
 
 /// What the cloud rents out: a machine type in a zone, spot or not.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct Offer {
     machine_type: String,
     zone: String,
--- a/crates/control/src/fleet/rent.rs
+++ b/crates/control/src/fleet/rent.rs
@@ -4,13 +4,14 @@
 use crate::leader::{Call, Ctx, Leader};
 use crate::ledger::Machine;
 use crate::node::describe;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use stonegw_constants as k;
 use stonegw_wire::msg::{decode, encode, ErrorBody, Hire, Machines};
 
 impl Leader {
-    /// Queues the rentals, in requests of limited size.
-    pub(super) fn queue_rentals(&mut self, now: Ms, rentals: HashMap<Offer, u32>) {
+    /// Queues the rentals in the order of their offers, in requests of limited size: a trace plays the
+    /// same each time.
+    pub(super) fn queue_rentals(&mut self, now: Ms, rentals: BTreeMap<Offer, u32>) {
         for (offer, mut left) in rentals {
             let Offer {
                 machine_type,
--- a/crates/control/src/fleet/size.rs
+++ b/crates/control/src/fleet/size.rs
@@ -6,7 +6,7 @@
 use crate::leader::{Ctx, Leader, Stage};
 use crate::ledger::{Life, Machine};
 use crate::resources::Resources;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use stonegw_constants as k;
 use stonegw_wire::msg::{JobSpec, MachineType};
 
@@ -18,7 +18,7 @@
     /// Room at hand, on its way, and rented by this plan.
     pub(super) rooms: Vec<Room>,
     /// How many machines to rent of each offer.
-    rentals: HashMap<Offer, u32>,
+    rentals: BTreeMap<Offer, u32>,
 }
 
 /// The room that there is, seen in two ways.
@@ -49,7 +49,7 @@
             now: ctx.now.ms,
             zones,
             rooms,
-            rentals: HashMap::new(),
+            rentals: BTreeMap::new(),
         };
         self.rent_spare(ctx, &mut plan, &undated);
         for demand in undated {
