--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -102,9 +102,9 @@
 pub const BARRIER_GAP_MS: u64 = 100;
 /// ms between probes of a state service that did not answer.
 pub const STATE_PROBE_MS: u64 = 300;
-/// ms after which the leader reads the changes even if its watch tells none: bounds how late
-/// it learns of a cancel.
-pub const LEADER_SYNC_MS: u64 = 2_000;
+/// ms after which the leader, and a node whose coverage lags by as much, reads the changes even
+/// if its watch tells none: bounds how late a cancel is learnt of.
+pub const CONFIRM_COPY_MS: u64 = 2_000;
 /// ms a poll, submission or cancel waits for the state service before 503; users wait 2 s for
 /// a poll and 5 s for a submission.
 pub const POLL_PATIENCE_MS: u64 = 1_600;
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -19,149 +19,32 @@
     JobStatus, LeaseAnswer, LeaseRequest, Listing, Orders, Report, ReportTo, Txn, TxnAnswer, Write,
 };
 
+mod answers;
+mod budgets;
+mod calls;
+mod can_run;
 mod coverage;
 mod elect;
 mod gate;
+mod out;
+mod peer;
+mod pending;
 mod relay;
+mod role;
+mod routes;
+mod sync;
 mod users;
 
-/// Standing for election, step by step. The leader key is created under a fresh lease and only
-/// if there is none; the stamp it gets is the term.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Role {
-    Follower,
-    /// No leader is known; waits a little so that not all stand at once.
-    Waiting {
-        until: Ms,
-    },
-    /// Has asked for a lease.
-    Granting,
-    /// Has sent the claim.
-    Claiming {
-        lease: u64,
-    },
-    /// The claim went unanswered; the next read tells.
-    Checking {
-        lease: u64,
-        until: Ms,
-    },
-    Leading,
-}
-
-/// The copy of `c/`.
-#[derive(Clone, Debug, PartialEq)]
-enum Sync {
-    /// Not listed yet; pages come in key order.
-    Listing {
-        after: Option<String>,
-        first: Option<u64>,
-        retry_at: Ms,
-        asked: bool,
-    },
-    Live,
-}
-
-enum Call {
-    List,
-    Watch,
-    Barrier {
-        polls: Vec<Pending>,
-        sent: Ms,
-    },
-    Store {
-        batch: Vec<Pending>,
-        size: TransactionSize,
-    },
-    Far {
-        machines: Vec<String>,
-        size: TransactionSize,
-    },
-    Grant,
-    Claim {
-        lease: u64,
-    },
-    Release,
-    ReadReleases,
-    RecordRelease,
-    Catalog,
-    Leader(crate::leader::Call),
-}
-
-#[derive(Serialize)]
-struct Health {
-    ready: bool,
-}
-
-enum Ask {
-    Poll(String),
-    Submit(Box<JobSpec>),
-    Cancel(String),
-}
-
-/// A user's request that waits for the state service.
-struct Pending {
-    id: u64,
-    ask: Ask,
-    until: Ms,
-    /// Times it went through a store; bounds a quarrel over one key.
-    tries: u8,
-}
-
-pub(crate) struct Out {
-    pub actions: Vec<Action>,
-    pub next_call: u64,
-}
-
-impl Out {
-    pub fn call(
-        &mut self,
-        target: Target,
-        method: &'static str,
-        path: String,
-        body: Vec<u8>,
-        timeout_ms: u64,
-    ) -> u64 {
-        self.next_call += 1;
-        self.actions.push(Action::Call {
-            call: self.next_call,
-            target,
-            method,
-            path,
-            body,
-            timeout_ms,
-        });
-        self.next_call
-    }
-
-    pub fn reply<T: Serialize>(&mut self, id: u64, status: u16, retry: Option<u32>, body: &T) {
-        self.actions.push(Action::Reply {
-            id,
-            status,
-            retry_after_s: retry,
-            body: encode(body),
-        });
-    }
-
-    fn error(&mut self, id: u64, status: u16, retry: Option<u32>, why: &str) {
-        self.reply(id, status, retry, &ErrorBody { error: why.into() });
-    }
-}
-
-#[derive(Default)]
-struct Peer {
-    up: bool,
-    heard: Ms,
-    state_ok: bool,
-    /// Has been told the counts of all jobs over this link.
-    counted: bool,
-}
-
-impl Peer {
-    fn heard(&self, now: Ms) -> bool {
-        self.up && now < self.heard + k::PEER_SILENT_MS
-    }
-}
+pub(crate) use answers::describe;
+use calls::Call;
+pub use can_run::can_run;
+pub(crate) use out::Out;
+use peer::Peer;
+use pending::{Ask, Pending};
+pub use role::Role;
+use sync::Sync;
 
+/// One controller: its copy of the jobs, its peers, its requests and, while it leads, the leader.
 pub struct Node {
     pub set: Settings,
     nonce: u64,
@@ -229,6 +112,7 @@
 }
 
 impl Node {
+    /// A node that has heard nothing yet.
     pub fn new(set: Settings, seed: u64) -> Node {
         let mut rng = SmallRng::seed_from_u64(seed);
         let nonce = rng.random::<u64>() >> 12;
@@ -297,23 +181,6 @@
         node
     }
 
-    /// The state service's limits hold for all nodes together: the leader gets the larger part.
-    fn share_budgets(&mut self) {
-        let others = self.set.peers.len().max(1) as f64;
-        let share = |part: f64| match self.role {
-            Role::Leading => part,
-            _ => (1.0 - part) / others,
-        };
-        let r = self.set.state_rps * share(k::LEADER_READS);
-        let w = self.set.state_write_rps * share(k::LEADER_WRITES);
-        self.reads.set_rate(r, r.max(4.0));
-        // A burst of one whole transaction must be possible, but never more than the state service
-        // takes in a second: it would be refused for ever.
-        let burst = w.max(self.set.txn_ops as f64);
-        self.writes
-            .set_rate(w, burst.min(self.set.state_write_rps).max(1.0));
-    }
-
     /// The one entry: what happened, all that came together. What goes on by itself is looked
     /// at once for all of it.
     pub fn handle(&mut self, now: Now, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
@@ -426,160 +293,4 @@
         }
         self.leader = Some(leader);
     }
-
-    /// Sends a transaction to the state service.
-    fn transact(&mut self, txn: &Txn<Value>, what: Call) {
-        let (body, wait) = (encode(txn), k::STATE_TIMEOUT_MS);
-        let call = self
-            .out
-            .call(Target::State, "POST", "/multi".into(), body, wait);
-        self.calls.insert(call, what);
-    }
-
-    // ---- Answers to our calls -------------------------------------------------------------
-
-    fn state_seen(&mut self, result: &CallResult) {
-        match result {
-            Ok((status, _)) if *status != 503 && *status != 429 => {
-                self.state_ok_at = self.now.ms;
-                self.state_failed_at = None;
-            }
-            Ok((429, _)) => {}
-            _ => {
-                self.state_failed_at.get_or_insert(self.now.ms);
-            }
-        }
-    }
-
-    fn call_done(&mut self, call: u64, result: CallResult) {
-        let Some(what) = self.calls.remove(&call) else {
-            return;
-        };
-        let now = self.now.ms;
-        match what {
-            Call::Leader(c) => {
-                if c.is_state() {
-                    self.state_seen(&result);
-                }
-                self.run_leader(|leader, ctx| leader.call_done(ctx, c, result));
-                return;
-            }
-            Call::Catalog => {
-                self.catalog_asked = false;
-                match result {
-                    Ok((200, body)) => match decode::<Catalog>(&body) {
-                        Ok(c) => self.catalog = Some(c),
-                        Err(e) => log::warn!("catalogue not understood: {e}"),
-                    },
-                    other => log::warn!("no catalogue: {}", describe(&other)),
-                }
-                self.catalog_at = now + k::CLOUD_RETRY_MS;
-                return;
-            }
-            // A watch that hangs says nothing: during an outage open watches wait. Nor does one that
-            // comes after calls have failed: the service may tell us alone, late, what it held
-            // back while it refused us, and be away by then.
-            Call::Watch if result.is_err() || self.state_failed_at.is_some() => {}
-            _ => self.state_seen(&result),
-        }
-        match what {
-            Call::List => self.listed(result),
-            Call::Watch => {
-                self.watching = false;
-                match self.changes(result) {
-                    Some(true) if self.role == Role::Leading => self.watch_at = now,
-                    Some(true) => self.watch_at = now + k::WATCH_GAP_MS,
-                    Some(false) => self.relist(),
-                    None => self.watch_at = now + k::STATE_RETRY_MS,
-                }
-            }
-            Call::Barrier { polls, sent } => {
-                self.barriers -= 1;
-                match self.changes(result) {
-                    Some(true) => {
-                        self.coverage.read(sent);
-                        for p in polls {
-                            self.answer(p);
-                        }
-                    }
-                    Some(false) => {
-                        self.relist();
-                        self.give_up(polls);
-                    }
-                    None => self.give_up(polls),
-                }
-            }
-            Call::Store { batch, size } => self.stored(batch, size, result),
-            Call::Grant => match result {
-                Ok((200, body)) => match decode::<LeaseAnswer>(&body) {
-                    Ok(a) => self.claim(a.lease),
-                    Err(e) => {
-                        log::warn!("lease answer not understood: {e}");
-                        self.set_role(Role::Waiting {
-                            until: now + k::STATE_RETRY_MAX_MS,
-                        });
-                    }
-                },
-                _ => self.set_role(Role::Waiting {
-                    until: now + k::STATE_RETRY_MS,
-                }),
-            },
-            Call::Claim { lease } => self.claimed(lease, result),
-            Call::ReadReleases => self.releases_read(result),
-            Call::RecordRelease => self.release_recorded(result),
-            Call::Far { machines, size } => self.far_stored(machines, size, result),
-            Call::Release => {}
-            Call::Catalog | Call::Leader(_) => {}
-        }
-    }
-}
-
-fn status(job: &str, state: JobPhase) -> JobStatus {
-    JobStatus {
-        id: job.into(),
-        state,
-        done: None,
-        running: None,
-    }
-}
-
-fn by_id(job: &str, ask: fn(String) -> Ask) -> Result<Ask, (u16, String)> {
-    if stonegw_wire::msg::is_job_id(job) {
-        Ok(ask(job.to_owned()))
-    } else {
-        Err((404, "no such job".into()))
-    }
-}
-
-pub(crate) fn describe(result: &CallResult) -> String {
-    match result {
-        Ok((status, _)) => format!("status {status}"),
-        Err(e) => format!("{e:?}"),
-    }
-}
-
-/// 422 exactly where the protocol has it.
-pub fn can_run(spec: &JobSpec, set: &Settings, catalog: &Catalog) -> Result<(), String> {
-    let Some(team) = set.team(&spec.team) else {
-        return Err(format!("unknown team {}", spec.team));
-    };
-    let fits = catalog.types.iter().any(|t| {
-        spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
-            && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
-            && t.cpus + k::EPSILON >= spec.cpus
-            && t.gpus + k::EPSILON >= spec.gpus
-            && t.memory_gb + k::EPSILON >= spec.memory_gb
-    });
-    if !fits {
-        return Err("a task fits no allowed machine type".into());
-    }
-    let n = match spec.kind {
-        JobKind::Array => 1.0,
-        // All its tasks run at the same time.
-        JobKind::Service | JobKind::Gang => f64::from(spec.tasks),
-    };
-    if spec.cpus * n > team.cpus_max + k::EPSILON || spec.gpus * n > team.gpus_max + k::EPSILON {
-        return Err("needs more than the team's limit".into());
-    }
-    Ok(())
 }
--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -1,4 +1,4 @@
-//! Users' requests: polls, submissions, cancels, health.
+//! Users' requests for jobs: polls, submissions and cancels.
 use super::*;
 
 /// Why a submission is not taken.
@@ -10,57 +10,6 @@
 }
 
 impl Node {
-    /// 200 only when the node can take requests. While the state service is away from every
-    /// node, taking all of them out would only delay the return.
-    pub(super) fn healthy(&self) -> bool {
-        if self.sync != Sync::Live || self.catalog.is_none() {
-            return false;
-        }
-        let now = self.now.ms;
-        let others = self.peers.iter().any(|p| p.heard(now) && p.state_ok);
-        let cut_off = !self.peers.is_empty() && !self.peer_heard();
-        !(self.state_out() && (others || cut_off))
-    }
-
-    pub(super) fn state_out(&self) -> bool {
-        self.state_failed_at.is_some()
-            && self.now.ms.saturating_sub(self.state_ok_at) > k::STATE_DOWN_MS
-    }
-
-    pub(super) fn request(&mut self, id: u64, request: Request) {
-        let path = request.path.split('?').next().unwrap_or("");
-        let method = request.method.as_str();
-        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
-        let (known, asks) = match parts.as_slice() {
-            ["healthz"] => (method == "GET", None),
-            ["submissions"] => (
-                method == "POST",
-                Some(match JobSpec::parse(&request.body) {
-                    Ok(spec) => Ok(Ask::Submit(Box::new(spec))),
-                    Err(why) => Err((400, why)),
-                }),
-            ),
-            ["submissions", job] => (method == "GET", Some(by_id(job, Ask::Poll))),
-            ["submissions", job, "cancel"] => (method == "POST", Some(by_id(job, Ask::Cancel))),
-            ["agent", "beat"] => {
-                if method == "POST" {
-                    return self.beat(id, request.body);
-                }
-                (false, None)
-            }
-            _ => return self.out.error(id, 404, None, "no such path"),
-        };
-        if !known {
-            return self.out.error(id, 405, None, "method not allowed");
-        }
-        match asks {
-            None if self.healthy() => self.out.reply(id, 200, None, &Health { ready: true }),
-            None => self.out.error(id, 503, Some(k::RETRY_STATE_S), "not ready"),
-            Some(Err((status, why))) => self.out.error(id, status, None, &why),
-            Some(Ok(ask)) => self.ask(id, ask),
-        }
-    }
-
     pub(super) fn ask(&mut self, id: u64, ask: Ask) {
         let (Ask::Poll(job) | Ask::Cancel(job)) = &ask else {
             return self.submit(id, ask);
@@ -204,13 +153,9 @@
             self.store();
         }
         // Without requests nothing else would notice that the state service is back: the watch
-        // may hang, and requests are refused meanwhile. The leader also must not miss a cancel
-        // because its watch hangs.
+        // may hang, and requests are refused meanwhile.
         let probe = self.state_failed_at.is_some() && now >= self.barrier_at + k::STATE_PROBE_MS
-            || self.role == Role::Leading && now >= self.barrier_at + k::LEADER_SYNC_MS
-            // The other nodes' answers don't carry the coverage on.
-            || self.uncovered_ms() > k::LEADER_SYNC_MS
-                && now >= self.barrier_at + k::LEADER_SYNC_MS;
+            || self.confirmation_due();
         if (!self.waiting.is_empty() || probe)
             && self.sync == Sync::Live
             && self.barriers < 2
@@ -236,6 +181,13 @@
         }
     }
 
+    /// The copy is to be confirmed by a read: the leader must not miss a cancel because its watch
+    /// hangs, and nothing else helps where the other nodes' answers don't carry the coverage on.
+    fn confirmation_due(&self) -> bool {
+        let needed = self.role == Role::Leading || self.uncovered_ms() > k::CONFIRM_COPY_MS;
+        needed && self.now.ms >= self.barrier_at + k::CONFIRM_COPY_MS
+    }
+
     /// Puts as many submissions and cancels into one transaction as fit.
     pub(super) fn store(&mut self) {
         let now = self.now.ms;
@@ -446,3 +398,12 @@
         }
     }
 }
+
+fn status(job: &str, state: JobPhase) -> JobStatus {
+    JobStatus {
+        id: job.into(),
+        state,
+        done: None,
+        running: None,
+    }
+}
