--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -22,11 +22,16 @@
     MachineType, Orders, Priority, Report, TaskReport, TaskState, Txn, TxnAnswer, Write,
 };
 
+mod answers;
 mod command;
+mod draft;
 mod hear;
 mod jobs;
 mod load;
+mod machine_records;
 mod place;
+mod reread;
+mod results;
 mod silence;
 mod split;
 mod store;
--- a/crates/control/src/leader/split.rs
+++ b/crates/control/src/leader/split.rs
@@ -3,7 +3,7 @@
 //!
 //! Their machines move to new records. The old record stays as it is until all of these are stored,
 //! so that every placement stands in some record at any moment; between, it stands in two.
-use super::store::shard_record;
+use super::machine_records::shard_record;
 use super::*;
 
 /// How the machines of a record are divided.
