--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,8 @@
 //! Event loop, connections and the admission limit. One thread, built on `polling`.
 pub mod admit;
 mod conn;
+mod event;
 mod net;
 
-pub use net::{Failed, Link, Net, NetEvent};
+pub use event::{Failed, Link, NetEvent};
+pub use net::Net;
--- /dev/null
+++ b/crates/net/src/net/socket.rs
@@ -0,0 +1,35 @@
+//! Opens non-blocking TCP sockets.
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use stonegw_constants as k;
+
+fn open(addr: SocketAddr) -> io::Result<Socket> {
+    Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))
+}
+
+/// Opens a listening socket.
+pub(super) fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = open(addr)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(k::LISTEN_BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+/// Starts a connection attempt; a write event tells its end.
+pub(super) fn connect(addr: &str) -> io::Result<TcpStream> {
+    let addr: SocketAddr = addr
+        .parse()
+        .map_err(|_| io::Error::new(io::ErrorKind::InvalidInput, "not an IP address and port"))?;
+    let socket = open(addr)?;
+    socket.set_nonblocking(true)?;
+    let _ = socket.set_tcp_nodelay(true);
+    match socket.connect(&addr.into()) {
+        Ok(()) => {}
+        Err(e) if e.raw_os_error() == Some(115) || e.kind() == io::ErrorKind::WouldBlock => {}
+        Err(e) => return Err(e),
+    }
+    Ok(socket.into())
+}
