--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -2,6 +2,7 @@
 //!
 //! What a deployment decides (limits, leases, prices, teams) is not here: it comes from the
 //! settings, the catalogue or observation.
+#![deny(missing_docs)]
 
 // ---- HTTP -------------------------------------------------------------------------------
 
@@ -116,6 +117,7 @@
 /// share the rest. Users ask all nodes alike, and each answer needs a read; of the changes most
 /// are placements.
 pub const LEADER_READS: f64 = 0.45;
+/// The leader's share of the changes, 0 to 1; see [`LEADER_READS`].
 pub const LEADER_WRITES: f64 = 0.7;
 /// ms between the end of a follower's watch and the next: changes that come together are told
 /// together. The leader asks again at once, since work waits for it.
@@ -153,7 +155,9 @@
 pub const SHARD_HEAD_BYTES: usize = 300;
 /// Bytes of JSON for one machine, one job, one task in it, on the safe side.
 pub const SHARD_MACHINE_BYTES: usize = 90;
+/// Bytes of JSON for one job in such a record; see [`SHARD_MACHINE_BYTES`].
 pub const SHARD_JOB_BYTES: usize = 70;
+/// Bytes of JSON for one task in such a record; see [`SHARD_MACHINE_BYTES`].
 pub const SHARD_TASK_BYTES: usize = 34;
 /// ms that results of a job wait, so that one write holds several. The worker shows them until
 /// they are stored; a job's last result does not wait.
@@ -325,6 +329,7 @@
 /// Tasks for which room is reclaimed in one mapping at most, or as many as this part of the
 /// fleet's machines if that is more.
 pub const GUARANTEE_STEP: usize = 12;
+/// The divisor of the fleet's machines in that limit; see [`GUARANTEE_STEP`].
 pub const GUARANTEE_STEP_PART: usize = 8;
 /// ms that an urgent task waits for the room that lesser work is leaving for it, before other
 /// room is made: a stop takes a report or a direct command, and saving some seconds.
@@ -360,6 +365,7 @@
 /// ms for which room is reserved for a gang at most, and the pause after: smaller work must not wait
 /// 90 s beside room that is kept.
 pub const GANG_RESERVED_MAX_MS: u64 = 45_000;
+/// ms from the end of a reservation to the next; see [`GANG_RESERVED_MAX_MS`].
 pub const GANG_RESERVE_PAUSE_MS: u64 = 15_000;
 /// ms for which urgent work leaves room alone that is reserved for a gang: as long as it takes to
 /// push lesser work aside elsewhere.
@@ -409,6 +415,7 @@
 /// Most machines rented in one decision of one kind, or this part of the fleet if that is more:
 /// keeps a wrong estimate cheap.
 pub const HIRE_STEP: u32 = 8;
+/// The divisor of the fleet in that limit; see [`HIRE_STEP`].
 pub const HIRE_STEP_PART: u32 = 2;
 /// Part of the time left to a deadline that the fleet is sized for; the remainder covers late
 /// starts and wrong estimates.
--- a/crates/net/src/admit.rs
+++ b/crates/net/src/admit.rs
@@ -57,6 +57,7 @@
         self.in_progress = self.in_progress.saturating_sub(1);
     }
 
+    /// Counts a request as answered at `now` after `took_ms`, both ms, and adjusts the limit.
     pub fn leave(&mut self, now: u64, took_ms: u64) {
         self.abandon();
         let took = took_ms as f64;
@@ -76,6 +77,7 @@
         self.usual_ms += (took - self.usual_ms) * k::ADMIT_WEIGHT;
     }
 
+    /// The present limit on requests in progress.
     pub fn limit(&self) -> f64 {
         self.limit
     }
--- a/crates/net/src/event.rs
+++ b/crates/net/src/event.rs
@@ -2,32 +2,50 @@
 use stonegw_wire::frame::Frame;
 use stonegw_wire::http::Request;
 
+/// A link to another controller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Link {
+    /// The link that this node opened, by index in the list of peers.
     Out(usize),
+    /// A link that a peer opened, by connection key.
     In(u64),
 }
 
+/// How a call failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failed {
+    /// No byte of it went out.
     NotSent,
+    /// It went out at least in part; whether it took effect is unknown.
     Unknown,
 }
 
+/// What happened on the sockets.
 #[derive(Debug)]
 pub enum NetEvent {
+    /// A request of a user or worker.
     Request {
+        /// Id to reply to.
         id: u64,
+        /// The request.
         request: Request,
     },
+    /// A call of ours has ended.
     CallDone {
+        /// Id that the caller gave it.
         call: u64,
+        /// Status and body of the answer.
         result: Result<(u16, Vec<u8>), Failed>,
     },
+    /// A frame from a peer.
     Frame {
+        /// The link it came over.
         from: Link,
+        /// The frame.
         frame: Frame,
     },
+    /// A link of ours is connected.
     LinkUp(Link),
+    /// A link is closed.
     LinkDown(Link),
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,4 +1,6 @@
 //! Event loop, connections and the admission limit. One thread, built on `polling`.
+#![deny(missing_docs)]
+
 pub mod admit;
 mod conn;
 mod event;
--- a/crates/net/src/net/client.rs
+++ b/crates/net/src/net/client.rs
@@ -7,6 +7,8 @@
 use stonegw_wire::http;
 
 impl Net {
+    /// Starts call `call`, which fails if it has no answer after `wait` ms.
+    ///
     /// `vital`: to the state service or the cloud, which calls to workers must never keep from a
     /// socket.
     #[allow(clippy::too_many_arguments)]
--- a/crates/sched/src/curve.rs
+++ b/crates/sched/src/curve.rs
@@ -11,6 +11,7 @@
 }
 
 impl Curve {
+    /// A curve without any mass.
     pub fn zero() -> Curve {
         Curve(Box::new([0.0; BINS]))
     }
@@ -24,6 +25,7 @@
         c
     }
 
+    /// Adds mass at `s` seconds; beyond the grid it is dropped.
     pub fn add(&mut self, s: f64, mass: f64) {
         if let Some(b) = self.0.get_mut(bin(s.max(0.0))) {
             *b += mass as f32;
@@ -56,6 +58,7 @@
         out
     }
 
+    /// The same distribution, `s` seconds later.
     pub fn shift(&self, s: f64) -> Curve {
         let n = bin(s);
         let mut out = Curve::zero();
@@ -65,6 +68,7 @@
         out
     }
 
+    /// Running sum: bin `i` holds the mass up to `i * BIN_S`.
     pub fn cumulative(&self) -> Curve {
         let mut out = self.clone();
         let mut sum = 0.0;
--- a/crates/sched/src/pam.rs
+++ b/crates/sched/src/pam.rs
@@ -7,14 +7,20 @@
 /// A task on a machine's queue as the mapping sees it: when it ends and what it then frees.
 #[derive(Clone, Debug)]
 pub struct Slot {
+    /// Distribution of its end, in seconds from now.
     pub end: Rc<Curve>,
+    /// Mean of `end`, s.
     pub mean: f64,
+    /// CPUs that its end frees.
     pub cpus: f64,
+    /// GPUs that its end frees.
     pub gpus: f64,
+    /// Memory that its end frees, GB.
     pub memory: f64,
 }
 
 impl Slot {
+    /// A slot for a task that ends at `end` and then frees these resources; memory in GB.
     pub fn new(end: Curve, cpus: f64, gpus: f64, memory: f64) -> Slot {
         let mean = end.mean();
         Slot {
@@ -30,15 +36,21 @@
 /// A machine's queue: free room now, tasks that will free more, and how many are held.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
+    /// Free CPUs now.
     pub cpus: f64,
+    /// Free GPUs now.
     pub gpus: f64,
+    /// Free memory now, GB.
     pub memory: f64,
+    /// Tasks that will free more, in the order in which they are expected to end.
     pub slots: Vec<Slot>,
+    /// Number of tasks that wait on this queue.
     pub held: usize,
     /// Answers of `start` since the last change: many jobs ask for the same room.
     asked: Vec<((f64, f64, f64), Option<Start>)>,
 }
 
+/// When a task can start on a machine.
 #[derive(Clone, Debug)]
 pub struct Start {
     /// When the room is free; `None`: now.
@@ -46,14 +58,19 @@
     used: usize,
 }
 
+/// The time until the needed room is free.
 #[derive(Clone, Debug)]
 pub struct Wait {
+    /// Distribution of the time, in seconds from now.
     pub curve: Rc<Curve>,
+    /// Mean of `curve`, s.
     pub mean: f64,
+    /// Earliest time with any mass in `curve`, s.
     pub earliest: f64,
 }
 
 impl Queue {
+    /// An empty queue with this much free; memory in GB.
     pub fn with_room(cpus: f64, gpus: f64, memory: f64) -> Queue {
         Queue {
             cpus,
@@ -63,6 +80,7 @@
         }
     }
 
+    /// Whether the resources are free now; memory in GB.
     pub fn fits_now(&self, cpus: f64, gpus: f64, memory: f64) -> bool {
         self.cpus + EPSILON >= cpus
             && self.gpus + EPSILON >= gpus
@@ -139,7 +157,9 @@
 /// What a task could get on a machine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Offer {
+    /// Chance to end by the deadline, 0 to 1.
     pub chance: f64,
+    /// Expected end, in seconds from now.
     pub finish: f64,
     /// What the machine costs per cpu: the cheaper one wins among equals, so that the dearer
     /// falls idle and can be returned.
--- a/crates/sched/src/pruner.rs
+++ b/crates/sched/src/pruner.rs
@@ -1,16 +1,23 @@
 //! The pruner: deferring threshold, overload toggle and drop threshold.
 use stonegw_constants::{DROP_BASE, LAMBDA, RHO, THETA, TOGGLE_OFF, TOGGLE_ON};
 
+/// Whether held tasks with low chances are dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Toggle {
+    /// Nothing is dropped.
     Off,
+    /// Overload: tasks below the drop threshold are dropped.
     On,
 }
 
+/// State of the pruner between two mappings.
 #[derive(Clone, Debug)]
 pub struct Pruner {
+    /// Chance, 0 to 1, below which a waiting task is deferred.
     pub deferring: f64,
+    /// Smoothed number of deadline misses per mapping.
     pub miss_level: f64,
+    /// The overload toggle.
     pub toggle: Toggle,
 }
 
--- a/crates/sched/src/runtimes.rs
+++ b/crates/sched/src/runtimes.rs
@@ -4,6 +4,7 @@
 use hdrhistogram::Histogram;
 use stonegw_constants::{MAX_RUN_MS, OBSERVED_WEIGHT, SEED_FACTORS};
 
+/// The run times of one job on one machine type.
 #[derive(Debug)]
 pub struct RunTimes {
     histogram: Histogram<u32>,
@@ -13,6 +14,7 @@
     /// The recorded times in s with their counts, shortest first.
     points: Vec<(f64, u32)>,
     fresh: bool,
+    /// Number of finished runs recorded.
     pub observed: u32,
 }
 
@@ -38,6 +40,7 @@
         }
     }
 
+    /// Records a finished run of `run_s` seconds.
     pub fn record(&mut self, run_s: f64) {
         self.histogram
             .saturating_record_n(ms(run_s), OBSERVED_WEIGHT);
@@ -63,16 +66,19 @@
         self.fresh = true;
     }
 
+    /// Distribution of the run time.
     pub fn run(&mut self) -> &Curve {
         self.refresh();
         &self.run
     }
 
+    /// Cumulative distribution of the run time.
     pub fn cumulative(&mut self) -> &Curve {
         self.refresh();
         &self.cumulative
     }
 
+    /// Mean run time, s.
     pub fn mean_s(&mut self) -> f64 {
         self.refresh();
         self.mean
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,20 +3,28 @@
 use zerocopy::little_endian::{U16, U32, U64};
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
+/// First field of each header.
 pub const MAGIC: u32 = 0x5747_5453;
+/// Version of the frame format.
 pub const VERSION: u16 = 2;
 /// Bytes after the header at most: a report or its answer and some.
 pub const MAX_FRAME: usize = 96 * 1024;
 
+/// The head of each frame.
 #[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy, Debug)]
 #[repr(C)]
 pub struct Header {
+    /// Always [`MAGIC`].
     pub magic: U32,
+    /// Always [`VERSION`].
     pub version: U16,
+    /// The kind of frame.
     pub kind: U16,
+    /// Bytes after the header.
     pub len: U32,
 }
 
+/// Bytes of a header.
 pub const HEADER: usize = size_of::<Header>();
 
 /// Sent on connecting and every second: who speaks, the highest term known, how it is. Each is
@@ -27,6 +35,7 @@
 )]
 #[repr(C)]
 pub struct Hello {
+    /// The highest term that the speaker knows.
     pub term: U64,
     /// Tells this process from earlier ones of the same name.
     pub nonce: U64,
@@ -34,8 +43,11 @@
     pub asked: U64,
     /// The revision up to which the speaker has all changes of the jobs.
     pub revision: U64,
+    /// 1 if the speaker leads, else 0.
     pub leads: u8,
+    /// 1 if the speaker reaches the state service, else 0.
     pub state_ok: u8,
+    /// The speaker's name, padded with zero bytes.
     pub name: [u8; 30],
 }
 
@@ -45,6 +57,7 @@
 )]
 #[repr(C)]
 pub struct Cancelled {
+    /// The job id, padded with zero bytes.
     pub job: [u8; 24],
     /// The stamp under which it is stored.
     pub stamp: U64,
@@ -56,7 +69,9 @@
 )]
 #[repr(C)]
 pub struct Relay {
+    /// Number of the relayed request, chosen by the asker.
     pub request: U64,
+    /// HTTP status of an answer; 0 in a report.
     pub status: U16,
 }
 
@@ -66,32 +81,51 @@
 )]
 #[repr(C)]
 pub struct Counts {
+    /// The job id, padded with zero bytes.
     pub job: [u8; 24],
+    /// Number of tasks done.
     pub done: U32,
+    /// Number of tasks running.
     pub running: U32,
 }
 
+/// One message between controllers.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Frame {
+    /// Greeting, ping and its answer.
     Hello(Hello),
+    /// A worker's report, relayed to the leader.
     Report {
+        /// Number of the request, which the answer repeats.
         request: u64,
+        /// The encoded report.
         body: Vec<u8>,
     },
+    /// The leader's answer to a relayed report.
     Answer {
+        /// Number of the request that is answered.
         request: u64,
+        /// HTTP status.
         status: u16,
+        /// The encoded answer.
         body: Vec<u8>,
     },
+    /// Counts for display.
     Counts(Vec<Counts>),
+    /// Stored cancellations.
     Cancelled(Vec<Cancelled>),
 }
 
+/// Why bytes are no frame.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FrameError {
+    /// The magic number is wrong.
     Magic,
+    /// The version is another one.
     Version,
+    /// The length is above the limit or does not fit the kind.
     Length,
+    /// The kind is unknown.
     Kind,
 }
 
@@ -101,6 +135,7 @@
 const COUNTS: u16 = 4;
 const CANCELLED: u16 = 5;
 
+/// A text as fixed-size field: cut to `N` bytes or padded with zero bytes.
 pub fn name<const N: usize>(text: &str) -> [u8; N] {
     let mut out = [0; N];
     let n = text.len().min(N);
@@ -108,12 +143,14 @@
     out
 }
 
+/// The text of a fixed-size field; empty if it is not UTF-8.
 pub fn text(name: &[u8]) -> &str {
     let end = name.iter().position(|b| *b == 0).unwrap_or(name.len());
     std::str::from_utf8(&name[..end]).unwrap_or("")
 }
 
 impl Frame {
+    /// Appends the encoded frame to `out`.
     pub fn write(&self, out: &mut Vec<u8>) {
         let at = out.len();
         out.resize(at + HEADER, 0);
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -2,6 +2,7 @@
 //! incremental: feed what has arrived, get `None` until a whole message stands in the buffer.
 use stonegw_constants::{MAX_HEAD, MAX_HEADERS};
 
+/// Why a message is rejected, with the status to answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HttpError {
     /// 400
@@ -17,6 +18,7 @@
 }
 
 impl HttpError {
+    /// The HTTP status to answer with.
     pub fn status(self) -> u16 {
         match self {
             HttpError::Malformed => 400,
@@ -28,18 +30,27 @@
     }
 }
 
+/// A parsed request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
+    /// The method, upper case.
     pub method: String,
+    /// The request target, starting with `/`.
     pub path: String,
+    /// Whether the connection closes after the answer.
     pub close: bool,
+    /// The body; empty if there is none.
     pub body: Vec<u8>,
 }
 
+/// A parsed response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Response {
+    /// The HTTP status.
     pub status: u16,
+    /// Whether the connection closes after this response.
     pub close: bool,
+    /// The body; empty if there is none.
     pub body: Vec<u8>,
 }
 
@@ -172,6 +183,7 @@
     Ok(Some((response, total)))
 }
 
+/// Appends a request to `out`.
 pub fn write_request(out: &mut Vec<u8>, method: &str, host: &str, path: &str, body: &[u8]) {
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n\r\n",
@@ -181,6 +193,7 @@
     out.extend_from_slice(body);
 }
 
+/// Appends a response to `out`; `retry_after_s` in seconds, `close` announces the end of the connection.
 pub fn write_response(
     out: &mut Vec<u8>,
     status: u16,
--- a/crates/wire/src/msg/encoding.rs
+++ b/crates/wire/src/msg/encoding.rs
@@ -1,6 +1,7 @@
 //! MessagePack encoding and decoding of message bodies.
 use serde::{de::DeserializeOwned, Serialize};
 
+/// Encodes one body as a MessagePack map with field names.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     rmp_serde::to_vec_named(value).expect("message types always encode")
 }
