--- a/crates/net/src/net/budget.rs
+++ b/crates/net/src/net/budget.rs
@@ -5,6 +5,17 @@
 use std::net::TcpStream;
 use stonegw_constants as k;
 
+/// The rank of an idle connection, lowest closed first; `None` if it is in use.
+fn eviction_order(c: &Conn) -> Option<(u8, u64)> {
+    match &c.role {
+        Role::Client { call: None, .. } => Some((0, c.deadline)),
+        Role::Server { busy: false, .. } if c.input.is_empty() && c.output.is_empty() => {
+            Some((1, c.deadline))
+        }
+        _ => None,
+    }
+}
+
 impl Net {
     /// Whether there is a socket besides so many that are kept. Nearing the limit, idle connections
     /// go, the longest idle first: our own to workers, then those of workers and users.
@@ -13,25 +24,24 @@
             .max_sockets
             .saturating_sub(kept + FIRST + k::SOCKET_MARGIN);
         if self.conns.len() >= most {
-            let idle = |c: &Conn| match &c.role {
-                Role::Client { call: None, .. } => Some((0, c.deadline)),
-                Role::Server { busy: false, .. } if c.input.is_empty() && c.output.is_empty() => {
-                    Some((1, c.deadline))
-                }
-                _ => None,
-            };
-            let conns = self.conns.iter();
-            let mut old: Vec<_> = conns.filter_map(|(k, c)| Some((idle(c)?, *k))).collect();
-            old.sort_unstable();
-            log::info!("{} sockets in use; closing idle ones", self.conns.len());
-            // Several at once, for looking at all of them costs time.
-            for (_, key) in old.into_iter().take(k::EVICT_SOCKETS) {
-                self.close(key);
-            }
+            self.close_idle();
         }
         self.conns.len() < most
     }
 
+    fn close_idle(&mut self) {
+        let conns = self.conns.iter();
+        let mut idle: Vec<_> = conns
+            .filter_map(|(key, c)| Some((eviction_order(c)?, *key)))
+            .collect();
+        idle.sort_unstable();
+        log::info!("{} sockets in use; closing idle ones", self.conns.len());
+        // Several at once, for looking at all of them costs time.
+        for (_, key) in idle.into_iter().take(k::EVICT_SOCKETS) {
+            self.close(key);
+        }
+    }
+
     /// Accepts all waiting connections, of users and workers or of peers.
     pub(super) fn accept(&mut self, user: bool) {
         let now = self.now();
--- a/crates/net/src/net/mod.rs
+++ b/crates/net/src/net/mod.rs
@@ -114,29 +114,40 @@
 
     /// Handles one readiness event.
     fn ready(&mut self, key: usize, readable: bool, writable: bool) {
-        let Some(c) = self.conns.get_mut(&key) else {
+        let Some(c) = self.conns.get(&key) else {
             return;
         };
         if c.connecting {
-            match c.stream.take_error() {
-                Ok(None) if writable => {
-                    c.connecting = false;
-                    if let Role::PeerOut(i) = c.role {
-                        self.out.push(NetEvent::LinkUp(Link::Out(i)));
-                    }
-                    self.push(key);
-                }
-                Ok(None) => {}
-                _ => return self.close(key),
-            }
-            return;
+            return self.connected(key, writable);
         }
         if writable {
             self.push(key);
         }
-        if !readable {
+        if readable {
+            self.read(key);
+        }
+    }
+
+    /// Ends a connection attempt, if it has succeeded or failed.
+    fn connected(&mut self, key: usize, writable: bool) {
+        let Some(c) = self.conns.get_mut(&key) else {
             return;
+        };
+        match c.stream.take_error() {
+            Ok(None) if writable => {
+                c.connecting = false;
+                if let Role::PeerOut(i) = c.role {
+                    self.out.push(NetEvent::LinkUp(Link::Out(i)));
+                }
+                self.push(key);
+            }
+            Ok(None) => {}
+            _ => self.close(key),
         }
+    }
+
+    /// Reads what has arrived and hands it to the parser for its role.
+    fn read(&mut self, key: usize) {
         let Some(c) = self.conns.get_mut(&key) else {
             return;
         };
@@ -161,6 +172,15 @@
     /// Closes what is past its deadline and redials peers.
     fn timers(&mut self) {
         let now = self.now();
+        self.close_late_calls(now);
+        if now >= self.swept + 1_000 {
+            self.swept = now;
+            self.close_expired(now);
+            self.dial(now);
+        }
+    }
+
+    fn close_late_calls(&mut self, now: u64) {
         let late: Vec<usize> = self
             .calls
             .values()
@@ -170,20 +190,20 @@
         for key in late {
             self.close(key);
         }
-        if now >= self.swept + 1_000 {
-            self.swept = now;
-            let old: Vec<usize> = self
-                .conns
-                .iter()
-                .filter(|(_, c)| {
-                    now >= c.deadline && !matches!(c.role, Role::Server { busy: true, .. })
-                })
-                .map(|(key, _)| *key)
-                .collect();
-            for key in old {
-                self.close(key);
-            }
-            self.dial(now);
+    }
+
+    /// Closes connections past their deadline, except while the core owes an answer.
+    fn close_expired(&mut self, now: u64) {
+        let old: Vec<usize> = self
+            .conns
+            .iter()
+            .filter(|(_, c)| {
+                now >= c.deadline && !matches!(c.role, Role::Server { busy: true, .. })
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for key in old {
+            self.close(key);
         }
     }
 }
