--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -3,7 +3,7 @@
 //! The two rules everything here serves: a `run` goes out only after its placement is stored
 //! under our term, and a task moves only when it is proven gone.
 use crate::api::{CallError, CallResult, Ms, Now, Target};
-use crate::fleet::{Fleet, FleetCall};
+use crate::fleet::Fleet;
 use crate::ledger::{Chunk, Life, Machine, Machines, Phase, Placement, Reach, Shard, Stored, Work};
 use crate::limits::{StoreLimits, TransactionSize};
 use crate::node::{describe, Out};
@@ -18,128 +18,42 @@
 use stonegw_constants as k;
 use stonegw_wire::frame::{self, Counts};
 use stonegw_wire::msg::{
-    decode, encode, json_len, Catalog, Command, Condition, Entry, ExitCause, JobKind, Listing,
-    MachineType, Orders, Priority, Report, TaskReport, TaskState, Txn, TxnAnswer, Write,
+    decode, encode, json_len, Catalog, Command, Condition, Entry, ExitCause, JobKind, MachineType,
+    Orders, Priority, Report, TaskReport, Txn, TxnAnswer, Write,
 };
 
 mod answers;
+mod calls;
 mod command;
+mod context;
 mod draft;
 mod hear;
+mod item;
 mod jobs;
 mod load;
 mod machine_records;
+mod page;
 mod place;
+mod placement_rules;
+mod reported_phase;
 mod reread;
 mod results;
 mod silence;
 mod split;
 mod store;
+mod summary;
 #[cfg(test)]
 mod world_tests;
 
-/// What the leader may use of its node.
-pub struct Ctx<'a> {
-    pub now: Now,
-    pub set: &'a Settings,
-    /// No other node is heard, so another may hear the machines that we don't.
-    pub may_resign: bool,
-    /// What may have been cancelled without our knowledge still ends in time: leases may be
-    /// renewed and tasks started.
-    pub covered: bool,
-    pub replica: &'a mut Replica,
-    pub reads: &'a mut Bucket,
-    pub writes: &'a mut Bucket,
-    /// How large what is written may be.
-    pub limits: &'a mut StoreLimits,
-    pub(crate) out: &'a mut Out,
-    pub calls: &'a mut Vec<(u64, Call)>,
-}
-
-impl Ctx<'_> {
-    pub fn call(
-        &mut self,
-        what: Call,
-        target: Target,
-        method: &'static str,
-        path: String,
-        body: Vec<u8>,
-        timeout_ms: u64,
-    ) -> u64 {
-        let id = self.out.call(target, method, path, body, timeout_ms);
-        self.calls.push((id, what));
-        id
-    }
-
-    /// Reads from the state service.
-    pub fn read(&mut self, what: Call, path: String) {
-        let wait = k::STATE_TIMEOUT_MS;
-        self.call(what, Target::State, "GET", path, vec![], wait);
-    }
-}
-
-/// A machine's name and an attempt on it.
-pub type On = (String, u64);
-
-/// What of the store one transaction changes, to be marked when its answer comes.
-#[derive(Clone, Debug)]
-pub enum Item {
-    /// The unstored attempts that the record now holds.
-    Shard {
-        shard: u32,
-        new: Vec<On>,
-    },
-    ShardGone {
-        shard: u32,
-    },
-    Done {
-        job: String,
-        chunk: u32,
-        exits: Vec<On>,
-    },
-    End {
-        job: String,
-        exits: Vec<On>,
-    },
-    DropDone {
-        key: String,
-    },
-}
-
-#[derive(Debug)]
-pub enum Call {
-    Renew,
-    Load {
-        prefix: &'static str,
-    },
-    Flush {
-        items: Vec<Item>,
-        size: TransactionSize,
-    },
-    Reread {
-        item: Item,
-    },
-    Do {
-        machine: String,
-        session: u64,
-        runs: Vec<u64>,
-    },
-    /// Asks a machine that did not hear us whether it does now.
-    Inspect {
-        machine: String,
-    },
-    Fleet(FleetCall),
-}
-
-impl Call {
-    pub fn is_state(&self) -> bool {
-        !matches!(
-            self,
-            Call::Do { .. } | Call::Inspect { .. } | Call::Fleet(_)
-        )
-    }
-}
+pub use calls::Call;
+pub use context::Ctx;
+use item::item_key;
+pub use item::{Item, On};
+use page::page;
+pub use placement_rules::{immediate, zone_allows};
+use reported_phase::{phase_of, phase_present};
 
+/// How far the leader has come since it began.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Stage {
     /// Reading what is stored.
@@ -151,6 +65,7 @@
     Active,
 }
 
+/// The leader of one term.
 pub struct Leader {
     pub term: u64,
     pub lease: u64,
@@ -221,7 +136,7 @@
 }
 
 impl Leader {
-    /// `leased_at`: when its lease was asked for.
+    /// A leader that has loaded nothing yet. `leased_at`: when its lease was asked for.
     pub fn new(
         term: u64,
         lease: u64,
@@ -279,10 +194,12 @@
         self.stage = to;
     }
 
+    /// The machine type of this name.
     pub fn kind(&self, name: &str) -> Option<&MachineType> {
         self.catalog.types.iter().find(|t| t.name == name)
     }
 
+    /// What goes on by itself, once a turn.
     pub fn advance(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.ms;
         self.now_ms = now;
@@ -335,52 +252,6 @@
         self.command(ctx);
     }
 
-    /// One line for the log on how the fleet and the work stand.
-    fn summarize(&self, ctx: &Ctx) {
-        let mut lives: BTreeMap<&str, usize> = BTreeMap::new();
-        let (mut cpus, mut used, mut held) = (0.0, 0.0, 0);
-        let (mut unstored, mut unseen, mut fetching, mut running) = (0, 0, 0, 0);
-        for m in self.machines.values() {
-            let life = match m.life {
-                Life::Booting => "booting",
-                Life::Up if m.quiet(ctx.now.ms, ctx.set.report_s) => "silent",
-                Life::Up => "up",
-                Life::Draining => "draining",
-                Life::Deleting => "deleting",
-            };
-            *lives.entry(life).or_default() += 1;
-            if m.life == Life::Up {
-                cpus += self.kind(&m.kind).map_or(0.0, |t| t.cpus);
-                used += m.used().0;
-                held += m.held.len();
-            }
-            for p in &m.placements {
-                match p.phase {
-                    Phase::New | Phase::Stored => unstored += 1,
-                    Phase::Ready | Phase::Sent => unseen += 1,
-                    Phase::Fetching | Phase::Gathering => fetching += 1,
-                    Phase::Running | Phase::Saving => running += 1,
-                    Phase::Exited { .. } => {}
-                }
-            }
-        }
-        let (mut waiting, mut late) = (0, 0);
-        for w in self.works.values() {
-            let n = w.pending.len();
-            waiting += n;
-            if w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0) {
-                late += n;
-            }
-        }
-        log::info!(
-            "machines {lives:?}, cpus {used:.0} of {cpus:.0}; jobs {}, tasks waiting {waiting} \
-             (late {late}), held {held}, unstored {unstored}, not seen yet {unseen}, \
-             fetching {fetching}, running {running}; threshold {:.2}",
-            self.works.len(),
-            self.sched.pruner.deferring
-        );
-    }
-
     /// Our lease surely holds: no other can lead yet.
     pub fn confirmed(&self, ctx: &Ctx) -> bool {
         ctx.now.ms < self.renewed_at + ctx.set.tuning.leader_ttl_ms
@@ -405,6 +276,7 @@
         }
     }
 
+    /// Takes the answer to one of its calls.
     pub fn call_done(&mut self, ctx: &mut Ctx, call: Call, result: CallResult) {
         match call {
             Call::Renew => {
@@ -432,57 +304,3 @@
         }
     }
 }
-
-/// A page of a listing, and after which key the next begins if there is one.
-type Page<V> = (Vec<Entry<V>>, Option<String>);
-
-fn page<V: serde::de::DeserializeOwned>(body: &[u8]) -> Result<Page<V>, String> {
-    let l: Listing<V> = decode(body)?;
-    let last = l.items.last().map(|e| e.key.clone());
-    Ok((l.items, last.filter(|_| l.more)))
-}
-
-fn item_key(item: &Item) -> String {
-    match item {
-        Item::Shard { shard, .. } | Item::ShardGone { shard } => shard_key(*shard),
-        Item::Done { job, chunk, .. } => done_key(job, *chunk),
-        Item::End { job, .. } => records::job_key(job),
-        Item::DropDone { key } => key.clone(),
-    }
-}
-
-fn phase_of(t: &TaskReport) -> Phase {
-    match t.state {
-        TaskState::Fetching | TaskState::Other => Phase::Fetching,
-        TaskState::Gathering => Phase::Gathering,
-        TaskState::Running => Phase::Running,
-        TaskState::Saving => Phase::Saving,
-        TaskState::Exited => Phase::Exited {
-            cause: t.why.unwrap_or(ExitCause::Other),
-            settled: false,
-        },
-    }
-}
-
-fn phase_present(phase: Phase) -> bool {
-    !matches!(phase, Phase::Exited { .. })
-}
-
-/// Which tasks a job may have where, given its others.
-pub fn zone_allows(machines: &Machines, work: &Work, zone: &str) -> bool {
-    let spec = &work.spec;
-    if spec.zone.as_ref().is_some_and(|z| z != zone) {
-        return false;
-    }
-    if !spec.one_zone && !spec.spread {
-        return true;
-    }
-    let (here, elsewhere) = machines.zones_of(&spec.id, zone);
-    let most = spec.tasks.div_ceil(2);
-    !(spec.one_zone && elsewhere > 0 || spec.spread && here >= most)
-}
-
-/// True for work that is placed on arrival: urgent and without a deadline.
-pub fn immediate(work: &Work) -> bool {
-    work.spec.kind == JobKind::Service || work.spec.deadline_s.is_none()
-}
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -61,7 +61,7 @@
 mutant cancel_meets_end went_back "node/users.rs" 's/txn\.conditions\.push\(Condition \{\n\s+key: key\.clone\(\),\n\s+version,\n\s+\}\);/let _ = version;/'
 mutant late_writes went_back "node/users.rs" 's/txn\.conditions\.push\(Condition \{\n\s+key: key\.clone\(\),\n\s+version,\n\s+\}\);/let _ = version;/'
 mutant tasks_end_far_apart not_done "leader/results.rs" 's/if w\.done_count != w\.spec\.tasks \|\| w\.ending \{/if w.done_count == 0 || w.ending {/'
-mutant zone_jobs_lose_machines wrong_place "leader/mod.rs" 's/!\(spec\.one_zone && elsewhere > 0 \|\| spec\.spread && here >= most\)/here + elsewhere + most > 0 || true/'
+mutant zone_jobs_lose_machines wrong_place "leader/placement_rules.rs" 's/!\(spec\.one_zone && elsewhere > 0 \|\| spec\.spread && here >= most\)/here + elsewhere + most > 0 || true/'
 mutant all_nodes_away waits_beside_room "leader/place.rs" 's/w\.give_back\(index\);/let _ = (w, index);/'
 mutant hand_over_and_back waits_beside_room "leader/place.rs" 's/w\.give_back\(index\);/let _ = (w, index);/'
 mutant mute_machines expect "leader/silence.rs" 's/ctx\.set\.lease_s \* k::LOST_LEASES/ctx.set.lease_s * 0.3/'
