--- a/crates/control/src/fleet/spare.rs
+++ b/crates/control/src/fleet/spare.rs
@@ -66,7 +66,7 @@
         let boot = self.kind(&m.kind).map_or(0.0, |t| t.boot_s);
         let age = now.saturating_sub(m.born) as f64 / 1e3;
         match m.life {
-            Life::Up => !m.quiet(now, ctx.set.report_s) && !m.far,
+            Life::Up => !m.quiet(now, ctx.set.report_s) && !m.via_state,
             Life::Booting => coming && age < boot * k::SPARE_OVERDUE,
             _ => false,
         }
--- a/crates/control/src/gang/mod.rs
+++ b/crates/control/src/gang/mod.rs
@@ -238,7 +238,7 @@
     fn all_reachable(&self, ctx: &Ctx, members: &[Member]) -> bool {
         members.iter().all(|member| {
             self.machines.get(&member.machine).is_some_and(|m| {
-                let heard = !m.quiet(ctx.now.ms, ctx.set.report_s) && !m.far && m.under_token;
+                let heard = !m.quiet(ctx.now.ms, ctx.set.report_s) && !m.via_state && m.under_token;
                 heard && m.trusted() && m.do_open.is_none() && m.addr.is_some()
             })
         })
--- a/crates/control/src/leader/command.rs
+++ b/crates/control/src/leader/command.rs
@@ -84,7 +84,7 @@
                 m.do_open.is_none()
                     && m.addr.is_some()
                     && !m.quiet(now, ctx.set.report_s)
-                    && !m.far
+                    && !m.via_state
                     && !m.deaf()
                     && m.placements.iter().any(|p| match p.phase {
                         Phase::Ready => p.stop.is_none() && ctx.covered,
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -29,7 +29,7 @@
             let newer = self.hear(ctx, report, true);
             if newer {
                 if let Some(mut m) = self.machines.edit(&id) {
-                    m.far = false;
+                    m.via_state = false;
                 }
                 self.take_exits(ctx, &id);
                 if self.stage == Stage::Active {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -229,7 +229,7 @@
             return;
         }
         self.take_changes(ctx);
-        self.take_far(ctx);
+        self.take_reports_via_state(ctx);
         if now >= self.watch_at {
             self.watch_at = now + k::WATCH_MACHINES_MS;
             self.watch_machines(ctx);
@@ -258,8 +258,8 @@
     }
 
     /// Reports that came through the state service.
-    fn take_far(&mut self, ctx: &mut Ctx) {
-        for report in std::mem::take(&mut ctx.replica.far) {
+    fn take_reports_via_state(&mut self, ctx: &mut Ctx) {
+        for report in std::mem::take(&mut ctx.replica.reports_via_state) {
             if report.token > self.term {
                 self.deposed = true;
                 return;
@@ -269,7 +269,7 @@
             let id = report.machine.clone();
             if self.hear(ctx, report, false) {
                 if let Some(mut m) = self.machines.edit(&id) {
-                    m.far = true;
+                    m.via_state = true;
                 }
                 self.take_exits(ctx, &id);
             }
--- a/crates/control/src/leader/silence.rs
+++ b/crates/control/src/leader/silence.rs
@@ -8,7 +8,7 @@
     quiet: usize,
     deaf: usize,
     /// Heard through the state service only.
-    far: usize,
+    via_state: usize,
 }
 
 impl Leader {
@@ -25,12 +25,12 @@
             if (m.heard.is_some() || m.loaded) && m.life != Life::Deleting {
                 let quiet = usize::from(m.quiet(now, report_s));
                 let deaf = usize::from(m.deaf());
-                let far = usize::from(m.far && quiet == 0);
+                let via_state = usize::from(m.via_state && quiet == 0);
                 for t in [&mut total, zones.entry(&m.zone).or_default()] {
                     t.all += 1;
                     t.quiet += quiet;
                     t.deaf += deaf;
-                    t.far += far;
+                    t.via_state += via_state;
                 }
             }
         }
@@ -63,7 +63,7 @@
         // Nearly a whole zone that falls silent, or is heard by a node beside it only, is most
         // likely cut off, and comes back.
         for (zone, t) in zones {
-            let away = t.quiet + t.far;
+            let away = t.quiet + t.via_state;
             if away > k::SILENT_FEW && away as f64 >= t.all as f64 * k::SILENT_ZONE_PART {
                 self.cut_until.insert(zone.to_owned(), later);
             }
@@ -92,7 +92,7 @@
                     && quiet_ms
                         > if cut(&m.zone) {
                             lost_ms.max(3 * lease_ms)
-                        } else if few && !m.far && urgent(m) {
+                        } else if few && !m.via_state && urgent(m) {
                             urgent_ms
                         } else {
                             lost_ms
--- a/crates/control/src/ledger/machine.rs
+++ b/crates/control/src/ledger/machine.rs
@@ -58,7 +58,7 @@
     /// When it was last heard.
     pub heard: Option<Ms>,
     /// Last heard through the state service: commands don't reach it.
-    pub far: bool,
+    pub via_state: bool,
     /// The last report was made under our token.
     pub under_token: bool,
     /// Whether what we say reaches it.
@@ -124,7 +124,7 @@
             session: 0,
             seq: 0,
             heard: None,
-            far: false,
+            via_state: false,
             under_token: false,
             reach: Reach::Fine,
             inspect_at: 0,
--- a/crates/control/src/ledger/machines.rs
+++ b/crates/control/src/ledger/machines.rs
@@ -11,7 +11,7 @@
     map: BTreeMap<String, Machine>,
     sums: Sums,
     /// Machines looked at so far: what the work comes to, whatever a processor does a second.
-    looks: Cell<u64>,
+    lookups: Cell<u64>,
 }
 
 /// A machine being changed; when it goes, the sums are made right.
@@ -42,23 +42,23 @@
 impl Machines {
     /// The machine of that name, to look at.
     pub fn get(&self, id: &str) -> Option<&Machine> {
-        self.looked(1);
+        self.count_lookups(1);
         self.map.get(id)
     }
 
     /// All machines, in the order of their names.
     pub fn values(&self) -> impl Iterator<Item = &Machine> {
-        self.looked(self.map.len());
+        self.count_lookups(self.map.len());
         self.map.values()
     }
 
-    fn looked(&self, n: usize) {
-        self.looks.set(self.looks.get() + n as u64);
+    fn count_lookups(&self, n: usize) {
+        self.lookups.set(self.lookups.get() + n as u64);
     }
 
     /// How many machines were looked at so far.
-    pub fn looks(&self) -> u64 {
-        self.looks.get()
+    pub fn lookups(&self) -> u64 {
+        self.lookups.get()
     }
 
     /// How many machines there are.
@@ -73,7 +73,7 @@
 
     /// The machine of that name, to change.
     pub fn edit(&mut self, id: &str) -> Option<Edit<'_>> {
-        self.looked(1);
+        self.count_lookups(1);
         let m = self.map.get_mut(id)?;
         let sums = &mut self.sums;
         Some(Edit { m, sums })
@@ -81,7 +81,7 @@
 
     /// Changes each machine in turn.
     pub fn edit_all(&mut self, mut change: impl FnMut(&mut Machine)) {
-        self.looked(self.map.len());
+        self.count_lookups(self.map.len());
         for m in self.map.values_mut() {
             change(m);
             self.sums.update(m);
--- a/crates/control/src/node/answers.rs
+++ b/crates/control/src/node/answers.rs
@@ -92,7 +92,9 @@
             Call::Claim { lease } => self.claimed(lease, result),
             Call::ReadReleases => self.releases_read(result),
             Call::RecordRelease => self.release_recorded(result),
-            Call::Far { machines, size } => self.far_stored(machines, size, result),
+            Call::ReportsViaState { machines, size } => {
+                self.stored_via_state(machines, size, result)
+            }
             Call::Release => {}
             Call::Catalog | Call::Leader(_) => {}
         }
--- a/crates/control/src/node/calls.rs
+++ b/crates/control/src/node/calls.rs
@@ -13,7 +13,7 @@
         batch: Vec<Pending>,
         size: TransactionSize,
     },
-    Far {
+    ReportsViaState {
         machines: Vec<String>,
         size: TransactionSize,
     },
--- a/crates/control/src/node/elect.rs
+++ b/crates/control/src/node/elect.rs
@@ -203,7 +203,7 @@
         let leader_listed = page.items.iter().any(|e| e.key == LEADER);
         self.replica.list_page(page.items);
         // Old ones: who lacks some of them gets them with our next answer.
-        self.replica.news.clear();
+        self.replica.unsent_cancellations.clear();
         if !page.more {
             if !leader_listed {
                 self.replica.no_leader_at(page.revision);
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -88,9 +88,9 @@
     /// A lease of an earlier life or a failed claim, to be ended.
     release: Vec<u64>,
     /// Reports to be handed on through the state service, and when each last was.
-    far: BTreeMap<String, (Report, bool, Ms)>,
-    far_at: Ms,
-    far_slot: usize,
+    reports_via_state: BTreeMap<String, (Report, bool, Ms)>,
+    via_state_at: Ms,
+    via_state_slot: usize,
     /// Machines answered without the leader: since when, or when last sent to try it.
     redirected: HashMap<String, Ms>,
     /// Machines that reported here, and when last.
@@ -162,9 +162,9 @@
             next_relay: 0,
             counts: HashMap::new(),
             release: vec![],
-            far: BTreeMap::new(),
-            far_at: 0,
-            far_slot: 0,
+            reports_via_state: BTreeMap::new(),
+            via_state_at: 0,
+            via_state_slot: 0,
             redirected: HashMap::new(),
             seen: HashMap::new(),
             let_go: HashMap::new(),
@@ -222,7 +222,7 @@
         self.advance_gate();
         self.advance_role();
         self.advance_front();
-        self.advance_far();
+        self.advance_via_state();
         if self.catalog.is_none() && !self.catalog_asked && now >= self.catalog_at {
             self.catalog_asked = true;
             let call = self.out.call(
@@ -260,7 +260,7 @@
         if self.leader.is_none() {
             // Only a leader has use for them.
             self.replica.changed.clear();
-            self.replica.far.clear();
+            self.replica.reports_via_state.clear();
         }
     }
 
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -41,7 +41,7 @@
                     frame: Frame::Report { request, body },
                 });
             }
-            Some(_) => self.far_beat(id, report, node),
+            Some(_) => self.beat_via_state(id, report, node),
             None => self.out.reply(id, 421, None, &ReportTo { node: None }),
         }
     }
@@ -51,7 +51,7 @@
     pub(super) fn unrelayed(&mut self, id: u64, report: Report) {
         match self.replica.leader.as_ref().map(|(l, _)| l.node.clone()) {
             Some(leader) if !self.alone() && self.leader.is_none() => {
-                self.far_beat(id, report, leader);
+                self.beat_via_state(id, report, leader);
             }
             _ => self.cut_off(id),
         }
@@ -72,7 +72,7 @@
 
     /// Hands cancellations that are new to us to all other nodes that can be reached.
     pub(super) fn tell_cancelled(&mut self) {
-        let news = std::mem::take(&mut self.replica.news);
+        let news = std::mem::take(&mut self.replica.unsent_cancellations);
         for i in 0..self.peers.len() {
             if self.peers[i].up {
                 self.send_cancelled(Link::Out(i), news.iter());
@@ -98,7 +98,7 @@
     /// A report that can't be relayed, from a worker that may be cut off with us. Its lease is
     /// kept alive with the leader's token, what is cancelled is ended, and the report goes on
     /// through the state service.
-    pub(super) fn far_beat(&mut self, id: u64, report: Report, leader: String) {
+    pub(super) fn beat_via_state(&mut self, id: u64, report: Report, leader: String) {
         if self.try_leader(&report.machine) {
             let node = Some(leader);
             return self.out.reply(id, 421, None, &ReportTo { node });
@@ -111,7 +111,7 @@
         }
         self.keep_lease(id, &report, term);
         let entry = self
-            .far
+            .reports_via_state
             .entry(report.machine.clone())
             .or_insert_with(|| (report.clone(), true, 0));
         // A late copy of an older report must not replace a newer one.
@@ -195,16 +195,17 @@
     }
 
     /// Hands reports on, the longest unheard first, as many as the budget allows.
-    pub(super) fn advance_far(&mut self) {
+    pub(super) fn advance_via_state(&mut self) {
         let now = self.now.ms;
-        if self.far.is_empty() || now < self.far_at || self.sync != Sync::Live {
+        if self.reports_via_state.is_empty() || now < self.via_state_at || self.sync != Sync::Live {
             return;
         }
-        self.far_at = now + k::FAR_GAP_MS;
+        self.via_state_at = now + k::FAR_GAP_MS;
         let redirected = &self.redirected;
-        self.far.retain(|m, _| redirected.contains_key(m));
+        self.reports_via_state
+            .retain(|m, _| redirected.contains_key(m));
         let mut due: Vec<(Ms, String)> = self
-            .far
+            .reports_via_state
             .iter()
             .filter(|(_, (_, changed, at))| *changed || now >= at + k::FAR_REPEAT_MS)
             .map(|(m, (_, _, at))| (*at, m.clone()))
@@ -225,7 +226,7 @@
         let (mut batch, mut bytes, mut total) = (vec![], 0, k::TXN_MARGIN);
         let (mut machines, mut sent) = (vec![], TransactionSize::default());
         for (_, machine) in due {
-            let Some((report, changed, at)) = self.far.get_mut(&machine) else {
+            let Some((report, changed, at)) = self.reports_via_state.get_mut(&machine) else {
                 continue;
             };
             let size = json_len(report) + 1;
@@ -234,7 +235,7 @@
                 continue;
             }
             if bytes + size > room {
-                let full = far_write(&self.set.node, &mut self.far_slot, &mut batch);
+                let full = write_via_state(&self.set.node, &mut self.via_state_slot, &mut batch);
                 txn.writes.push(full);
                 sent.add(bytes + k::FAR_HEAD_BYTES);
                 bytes = 0;
@@ -248,7 +249,7 @@
             machines.push(machine);
         }
         if !batch.is_empty() {
-            let rest = far_write(&self.set.node, &mut self.far_slot, &mut batch);
+            let rest = write_via_state(&self.set.node, &mut self.via_state_slot, &mut batch);
             txn.writes.push(rest);
             sent.add(bytes + k::FAR_HEAD_BYTES);
         }
@@ -256,7 +257,7 @@
             return;
         }
         self.writes.force(now, txn.writes.len() as f64);
-        let call = Call::Far {
+        let call = Call::ReportsViaState {
             machines,
             size: sent,
         };
@@ -264,7 +265,7 @@
     }
 
     /// Reports that the state service refused are handed on again, at once or in smaller parts.
-    pub(super) fn far_stored(
+    pub(super) fn stored_via_state(
         &mut self,
         machines: Vec<String>,
         size: TransactionSize,
@@ -279,7 +280,7 @@
             _ => return,
         }
         for machine in machines {
-            if let Some((_, changed, _)) = self.far.get_mut(&machine) {
+            if let Some((_, changed, _)) = self.reports_via_state.get_mut(&machine) {
                 *changed = true;
             }
         }
@@ -445,7 +446,7 @@
 }
 
 /// A record of reports, in the next of a node's slots.
-fn far_write(node: &str, slot: &mut usize, batch: &mut Vec<Report>) -> Write<Value> {
+fn write_via_state(node: &str, slot: &mut usize, batch: &mut Vec<Report>) -> Write<Value> {
     *slot = (*slot + 1) % k::FAR_SLOTS;
     let reports = std::mem::take(batch);
     let via = node.to_owned();
--- a/crates/control/src/node/relay_tests.rs
+++ b/crates/control/src/node/relay_tests.rs
@@ -42,7 +42,7 @@
 /// The transaction that is sent in this turn, if any, and the call for it.
 fn sent(node: &mut Node, ms: Ms) -> Option<(Txn<Value>, Call)> {
     node.now.ms = ms;
-    node.advance_far();
+    node.advance_via_state();
     let actions = std::mem::take(&mut node.out.actions);
     let Action::Call { call, body, .. } = actions.into_iter().next()? else {
         return None;
@@ -58,14 +58,16 @@
     node.sync = Sync::Live;
     for n in 0..60 {
         let id = format!("host-{n}");
-        node.far.insert(id.clone(), (report(&id), true, 0));
+        node.reports_via_state
+            .insert(id.clone(), (report(&id), true, 0));
         node.redirected.insert(id, 0);
     }
     let (most, value_bytes) = (1, 2 * 1024);
     let mut handed = HashSet::new();
     let mut refused = 0;
     for turn in 1..200 {
-        let Some((txn, Call::Far { machines, size })) = sent(&mut node, turn * 100) else {
+        let Some((txn, Call::ReportsViaState { machines, size })) = sent(&mut node, turn * 100)
+        else {
             continue;
         };
         assert_eq!(txn.writes.len(), size.writes);
@@ -83,7 +85,7 @@
         if !refuse {
             handed.extend(machines.clone());
         }
-        node.far_stored(machines, size, Ok((status, vec![])));
+        node.stored_via_state(machines, size, Ok((status, vec![])));
     }
     assert_eq!(handed.len(), 60);
     assert!((1..20).contains(&refused), "{refused}");
@@ -98,12 +100,14 @@
     node.sync = Sync::Live;
     for n in 0..400 {
         let id = format!("host-{n}");
-        node.far.insert(id.clone(), (report(&id), true, 0));
+        node.reports_via_state
+            .insert(id.clone(), (report(&id), true, 0));
         node.redirected.insert(id, 0);
     }
     let mut handed = 0;
     for turn in 1..100 {
-        let Some((txn, Call::Far { machines, .. })) = sent(&mut node, turn * 100) else {
+        let Some((txn, Call::ReportsViaState { machines, .. })) = sent(&mut node, turn * 100)
+        else {
             continue;
         };
         handed += machines.len();
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -21,13 +21,13 @@
     /// Jobs that changed and that the leader has not looked at yet.
     pub changed: Vec<String>,
     /// Reports handed on by nodes that can't reach the leader.
-    pub far: Vec<Report>,
+    pub reports_via_state: Vec<Report>,
     /// All cancellations known, by the stamp under which each is stored.
     cancelled: BTreeSet<(u64, String)>,
     /// Those that were not handed to the other nodes yet.
-    pub news: Vec<(u64, String)>,
+    pub unsent_cancellations: Vec<(u64, String)>,
     /// Cancellations of jobs that we have not read yet, with their stamps.
-    told: HashMap<String, u64>,
+    unread_cancellations: HashMap<String, u64>,
 }
 
 impl Replica {
@@ -48,14 +48,18 @@
             }
             // The order of reports is in themselves; a late one is told by its number.
             Common::Far(f) => {
-                self.far.extend(f.reports);
+                self.reports_via_state.extend(f.reports);
             }
             Common::Leader(_) => log::warn!("unexpected record at {key}"),
         }
     }
 
     pub fn put_job(&mut self, id: &str, mut record: JobRecord, mut version: u64) {
-        if let Some(stamp) = self.told.remove(id).filter(|stamp| *stamp > version) {
+        if let Some(stamp) = self
+            .unread_cancellations
+            .remove(id)
+            .filter(|stamp| *stamp > version)
+        {
             (record, version) = (record.cancelled(), stamp);
         }
         let known = self.jobs.get(id);
@@ -72,7 +76,7 @@
         let before = known.is_some_and(|j| j.record.end.is_some());
         if record.end == Some(End::Cancelled) && !before {
             self.cancelled.insert((version, id.to_owned()));
-            self.news.push((version, id.to_owned()));
+            self.unsent_cancellations.push((version, id.to_owned()));
         }
         self.jobs.insert(id.to_owned(), Job { record, version });
         self.changed.push(id.to_owned());
@@ -89,9 +93,13 @@
             // Its submission was stored after our last read. Others may ask us of the cancellation
             // before we have read it.
             None => {
-                if self.told.insert(id.to_owned(), stamp).is_none() {
+                if self
+                    .unread_cancellations
+                    .insert(id.to_owned(), stamp)
+                    .is_none()
+                {
                     self.cancelled.insert((stamp, id.to_owned()));
-                    self.news.push((stamp, id.to_owned()));
+                    self.unsent_cancellations.push((stamp, id.to_owned()));
                 }
             }
         }
@@ -107,7 +115,7 @@
     pub fn stops(&self, report: &Report) -> Vec<Command> {
         let cancelled = |task: &str| {
             let job = parse_task(task).map_or("", |t| t.0);
-            self.end_of(job) == Some(End::Cancelled) || self.told.contains_key(job)
+            self.end_of(job) == Some(End::Cancelled) || self.unread_cancellations.contains_key(job)
         };
         let live = report.tasks.iter().filter(|t| t.state != TaskState::Exited);
         live.filter(|t| cancelled(&t.task))
--- a/crates/control/src/schedule/mod.rs
+++ b/crates/control/src/schedule/mod.rs
@@ -146,7 +146,7 @@
         m.life == Life::Up
             && !m.quiet(ctx.now.ms, ctx.set.report_s)
             && m.under_token
-            && !m.far
+            && !m.via_state
             && m.trusted()
             && ctx.now.ms >= m.full_until
     }
