--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -34,6 +34,7 @@
 mod routes;
 mod sync;
 mod users;
+mod via_state;
 
 pub(crate) use answers::describe;
 use calls::Call;
