--- a/crates/control/src/fleet/catalog.rs
+++ b/crates/control/src/fleet/catalog.rs
@@ -1,7 +1,7 @@
 //! The cloud's catalogue of machine types: read from time to time, since prices change.
 use super::FleetCall;
-use crate::api::{CallResult, Ms, Target};
-use crate::leader::{Call, Ctx, Leader};
+use crate::api::{CallResult, Ms};
+use crate::leader::{Ctx, Leader};
 use stonegw_constants as k;
 use stonegw_wire::msg::{decode, Catalog};
 
@@ -11,16 +11,7 @@
         let now = ctx.now.ms;
         if now >= self.fleet.catalog_at && !self.fleet.catalog_asked && self.may_call_cloud(now) {
             self.fleet.catalog_asked = true;
-            let call = Call::Fleet(FleetCall::Catalog);
-            let path = "/catalog".into();
-            ctx.call(
-                call,
-                Target::Cloud,
-                "GET",
-                path,
-                vec![],
-                k::CLOUD_TIMEOUT_MS,
-            );
+            ctx.ask_cloud(FleetCall::Catalog, "GET", "/catalog", vec![]);
         }
     }
 
--- a/crates/control/src/fleet/idle.rs
+++ b/crates/control/src/fleet/idle.rs
@@ -3,8 +3,8 @@
 use super::gang_room::GangRoom;
 use super::room::slots_of_type;
 use super::FleetCall;
-use crate::api::{Ms, Target};
-use crate::leader::{Call, Ctx, Leader};
+use crate::api::Ms;
+use crate::leader::{Ctx, Leader};
 use crate::ledger::{Life, Machine, Phase};
 use stonegw_constants as k;
 use stonegw_wire::msg::{encode, JobSpec, MachineType, Machines};
@@ -132,8 +132,6 @@
         let body = encode(&Machines {
             machines: ids.clone(),
         });
-        let call = Call::Fleet(FleetCall::Delete(ids));
-        let path = "/hosts/delete".into();
-        ctx.call(call, Target::Cloud, "POST", path, body, k::CLOUD_TIMEOUT_MS);
+        ctx.ask_cloud(FleetCall::Delete(ids), "POST", "/hosts/delete", body);
     }
 }
--- a/crates/control/src/fleet/list.rs
+++ b/crates/control/src/fleet/list.rs
@@ -1,7 +1,7 @@
 //! The cloud's list of machines: read page by page, then taken in.
 use super::FleetCall;
-use crate::api::{CallResult, Ms, Target};
-use crate::leader::{Call, Ctx, Leader};
+use crate::api::{CallResult, Ms};
+use crate::leader::{Ctx, Leader};
 use crate::ledger::{Life, Machine};
 use crate::node::describe;
 use std::collections::HashSet;
@@ -18,15 +18,7 @@
             if let Some(last) = self.fleet.listing.as_ref().and_then(|l| l.last()) {
                 path.push_str(&format!("&since={}", last.id));
             }
-            let call = Call::Fleet(FleetCall::List);
-            ctx.call(
-                call,
-                Target::Cloud,
-                "GET",
-                path,
-                vec![],
-                k::CLOUD_TIMEOUT_MS,
-            );
+            ctx.ask_cloud(FleetCall::List, "GET", &path, vec![]);
         }
     }
 
--- a/crates/control/src/fleet/rent.rs
+++ b/crates/control/src/fleet/rent.rs
@@ -1,7 +1,7 @@
 //! Renting: rentals are queued, sent one at a time, and repeated until they are answered.
 use super::{FleetCall, HireState, Offer, Refusal, Renting};
-use crate::api::{CallError, CallResult, Ms, Target};
-use crate::leader::{Call, Ctx, Leader};
+use crate::api::{CallError, CallResult, Ms};
+use crate::leader::{Ctx, Leader};
 use crate::ledger::Machine;
 use crate::node::describe;
 use std::collections::BTreeMap;
@@ -55,9 +55,7 @@
         let renting = &mut self.fleet.renting[at];
         renting.state = HireState::Sent;
         let (number, body) = (renting.number, encode(&renting.hire));
-        let call = Call::Fleet(FleetCall::Hire(number));
-        let path = "/hosts".into();
-        ctx.call(call, Target::Cloud, "POST", path, body, k::CLOUD_TIMEOUT_MS);
+        ctx.ask_cloud(FleetCall::Hire(number), "POST", "/hosts", body);
     }
 
     /// A rental was answered, or no answer came.
--- a/crates/control/src/gang/reserve.rs
+++ b/crates/control/src/gang/reserve.rs
@@ -36,6 +36,9 @@
         let waiting = self.waiting_gangs(ctx);
         let waits: BTreeSet<&String> = waiting.iter().collect();
         self.sched.reservations.retain(|job, _| waits.contains(job));
+        if waiting.is_empty() {
+            return;
+        }
         let roomy = self.roomy(ctx);
         for job in &waiting {
             let Some(work) = self.works.get(job) else {
@@ -253,7 +256,6 @@
             return;
         }
         let wanted = RoomWanted {
-            job,
             work,
             tasks: work.spec.tasks,
             guarantee,
--- a/crates/control/src/leader/answers.rs
+++ b/crates/control/src/leader/answers.rs
@@ -204,10 +204,9 @@
                 continue;
             }
             let in_gang = works.get(&p.job).is_some_and(|w| w.gang.is_some());
+            self.gangs_changed |= in_gang;
             p.set_phase(if in_gang { Phase::Stored } else { Phase::Ready });
         }
-        drop(m);
-        self.gangs_changed = true;
     }
 
     /// Changes an attempt's placements, as far as they are still there.
--- a/crates/control/src/leader/context.rs
+++ b/crates/control/src/leader/context.rs
@@ -1,5 +1,6 @@
 //! What the leader may use of its node, and how it makes calls.
 use super::*;
+use crate::fleet::FleetCall;
 
 /// What the leader may use of its node.
 pub struct Ctx<'a> {
@@ -40,4 +41,11 @@
         let wait = k::STATE_TIMEOUT_MS;
         self.call(what, Target::State, "GET", path, vec![], wait);
     }
+
+    /// Asks the cloud.
+    pub fn ask_cloud(&mut self, what: FleetCall, method: &'static str, path: &str, body: Vec<u8>) {
+        let (what, path) = (Call::Fleet(what), path.to_owned());
+        let wait = k::CLOUD_TIMEOUT_MS;
+        self.call(what, Target::Cloud, method, path, body, wait);
+    }
 }
--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -134,7 +134,7 @@
     /// A task is proven gone from where it was: it waits again, unless it is elsewhere.
     pub fn back(&mut self, job: &str, index: u32) {
         self.wake = true;
-        self.gangs_changed = true;
+        self.gangs_changed |= self.works.get(job).is_some_and(|w| w.gang.is_some());
         // A task that is held waits already; waiting twice, it would start twice.
         let elsewhere = self.machines.is_present(job, index) || self.machines.is_held(job, index);
         if let (false, Some(w)) = (elsewhere, self.works.get_mut(job)) {
--- a/crates/control/src/preempt.rs
+++ b/crates/control/src/preempt.rs
@@ -18,16 +18,14 @@
 }
 
 /// Room that is being made on machines, by machine.
-pub type Claims = HashMap<String, (f64, f64, f64)>;
+pub type Claims = HashMap<String, Resources>;
 
 fn claim(claims: &mut Claims, machine: &str, spec: &JobSpec) {
-    let c = claims.entry(machine.to_owned()).or_default();
-    *c = (c.0 + spec.cpus, c.1 + spec.gpus, c.2 + spec.memory_gb);
+    *claims.entry(machine.to_owned()).or_default() += Resources::of_task(spec);
 }
 
 /// For whose tasks room is looked for, and for how many.
 pub struct RoomWanted<'a> {
-    pub job: &'a str,
     pub work: &'a Work,
     pub tasks: u32,
     /// What other teams run beyond their guarantees may be stopped as well.
@@ -72,33 +70,25 @@
     /// Room that is being made and may still be believed in, by machine.
     pub fn claims(&mut self, now: Ms) -> Claims {
         let mut claims = Claims::new();
-        let (works, machines, types) = (&self.works, &self.machines, &self.catalog.types);
-        self.sched.making.retain(|made| {
-            let (Some(w), Some(m)) = (works.get(&made.job), machines.get(&made.machine)) else {
+        let mut making = std::mem::take(&mut self.sched.making);
+        making.retain(|made| {
+            let Some(work) = self.works.get(&made.job) else {
                 return false;
             };
-            let Some(kind) = types.iter().find(|t| t.name == m.kind) else {
+            let machine = self.machines.get(&made.machine);
+            let Some(free) = machine.and_then(|m| self.free_and_leaving(m)) else {
                 return false;
             };
-            let (mut c, mut g, mut mem) = m.free(kind);
-            for p in m
-                .placements
-                .iter()
-                .filter(|p| p.present() && p.stop.is_some())
-            {
-                (c, g, mem) = (c + p.cpus, g + p.gpus, mem + p.memory);
-            }
             let taken = claims.get(&made.machine).copied().unwrap_or_default();
-            let fits = c - taken.0 + k::EPSILON >= w.spec.cpus
-                && g - taken.1 + k::EPSILON >= w.spec.gpus
-                && mem - taken.2 + k::EPSILON >= w.spec.memory_gb;
-            let waits = !w.pending.is_empty() || w.gang_waits();
+            let fits = (free - taken).fits(&Resources::of_task(&work.spec));
+            let waits = !work.pending.is_empty() || work.gang_waits();
             let believed = fits && now < made.until && waits;
             if believed {
-                claim(&mut claims, &made.machine, &w.spec);
+                claim(&mut claims, &made.machine, &work.spec);
             }
             believed
         });
+        self.sched.making = making;
         claims
     }
 
@@ -120,7 +110,6 @@
             return false;
         };
         let wanted = RoomWanted {
-            job,
             work,
             tasks: 1,
             guarantee,
@@ -184,12 +173,7 @@
         let Some(mut free) = self.free_and_leaving(m) else {
             return vec![];
         };
-        let (cpus, gpus, memory_gb) = claimed.get(&m.id).copied().unwrap_or_default();
-        free -= Resources {
-            cpus,
-            gpus,
-            memory_gb,
-        };
+        free -= claimed.get(&m.id).copied().unwrap_or_default();
         let need = Resources::of_task(&wanted.work.spec);
         let mut victims = self.victims(ctx, m, wanted, kept).into_iter();
         // An urgent task's wait for its image weighs more than the run time lost.
--- a/crates/control/src/schedule/mod.rs
+++ b/crates/control/src/schedule/mod.rs
@@ -9,6 +9,7 @@
 use crate::overdue::Kept;
 use crate::preempt::Making;
 use crate::records::Seen;
+use crate::resources::Resources;
 use std::collections::HashMap;
 use stonegw_constants as k;
 use stonegw_sched::pruner::Pruner;
@@ -168,13 +169,8 @@
 
     /// Whether the machine has room for one more task.
     pub fn room(&self, m: &Machine, spec: &JobSpec) -> bool {
-        let Some(kind) = self.kind(&m.kind) else {
-            return false;
-        };
-        let (c, g, mem) = m.free(kind);
-        c + k::EPSILON >= spec.cpus
-            && g + k::EPSILON >= spec.gpus
-            && mem + k::EPSILON >= spec.memory_gb
+        let free = self.free(m);
+        free.is_some_and(|free| free.fits(&Resources::of_task(spec)))
     }
 
     /// Whether one more task keeps its team within so many CPUs and cards, besides `extra`.
