--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,12 +1,18 @@
 //! The settings as the core uses them; the daemon reads and checks the files.
 use stonegw_constants as k;
 
+/// A team's guarantee and limits. A guest has neither: no guarantee, and limits that are infinite.
 #[derive(Clone, Debug)]
 pub struct Team {
+    /// Its name in submissions.
     pub name: String,
+    /// CPUs it is guaranteed.
     pub cpus: f64,
+    /// CPUs its tasks may use at any time.
     pub cpus_max: f64,
+    /// Cards it is guaranteed.
     pub gpus: f64,
+    /// Cards its tasks may use at any time.
     pub gpus_max: f64,
 }
 
--- a/crates/stonegwd/src/main.rs
+++ b/crates/stonegwd/src/main.rs
@@ -64,6 +64,9 @@
         state,
     } = loaded;
     log::info!("{} starts", core.node);
+    for team in &core.teams {
+        log::debug!("{team:?}");
+    }
     let mut net = Net::new(
         client_listen,
         cluster_listen,
--- a/crates/stonegwd/src/settings.rs
+++ b/crates/stonegwd/src/settings.rs
@@ -244,6 +244,22 @@
     Ok(t)
 }
 
+/// A team's limits, checked. One of 0 CPUs and 0 cards is none at all: such a team is a guest, which
+/// uses what others leave.
+fn team(t: PlatformTeam) -> Result<Team, String> {
+    let cpus_max = within("deployment.teams.cpus_max", t.cpus_max, 0.0, 1e9)?;
+    let gpus_max = within("deployment.teams.gpus_max", t.gpus_max, 0.0, 1e9)?;
+    let unlimited = cpus_max == 0.0 && gpus_max == 0.0;
+    let limit = |most: f64| if unlimited { f64::INFINITY } else { most };
+    Ok(Team {
+        cpus: within("deployment.teams.cpus", t.cpus, 0.0, 1e9)?,
+        cpus_max: limit(cpus_max),
+        gpus: within("deployment.teams.gpus", t.gpus, 0.0, 1e9)?,
+        gpus_max: limit(gpus_max),
+        name: t.name,
+    })
+}
+
 fn platform(text: &str, tuning: Tuning) -> Result<Loaded, String> {
     let source = toml::Deserializer::parse(text).map_err(|e| one_line(e.message()))?;
     let mut p: Platform = serde_path_to_error::deserialize(source)
@@ -268,13 +284,7 @@
                 t.name
             ));
         }
-        teams.push(Team {
-            cpus: within("deployment.teams.cpus", t.cpus, 0.0, 1e9)?,
-            cpus_max: within("deployment.teams.cpus_max", t.cpus_max, 0.0, 1e9)?,
-            gpus: within("deployment.teams.gpus", t.gpus, 0.0, 1e9)?,
-            gpus_max: within("deployment.teams.gpus_max", t.gpus_max, 0.0, 1e9)?,
-            name: t.name,
-        });
+        teams.push(team(t)?);
     }
     let mut promises = vec![];
     for o in std::mem::take(&mut p.deployment.objectives) {
--- a/crates/stonegwd/src/settings_tests.rs
+++ b/crates/stonegwd/src/settings_tests.rs
@@ -134,3 +134,20 @@
         .contains("slack_use"));
     assert_eq!(operators("").unwrap().map_ms, Tuning::default().map_ms);
 }
+
+/// Guests come without a guarantee and without a limit: 0 in both is none. Taken as a limit of nothing, it had
+/// all their jobs refused as ones that can never run.
+#[test]
+fn a_team_without_limits_is_a_guest_and_uses_what_is_left() {
+    let limits = |cpus_max: f64, gpus_max: f64| {
+        let to = format!("cpus_max = {cpus_max:?}\n    gpus_max = {gpus_max:?}");
+        let text = GOOD.replacen("cpus_max = 2.0", &to, 1);
+        let loaded = platform(&text, Tuning::default()).expect("good settings");
+        let team = &loaded.core.teams[0];
+        (team.cpus_max, team.gpus_max)
+    };
+    assert_eq!(limits(0.0, 0.0), (f64::INFINITY, f64::INFINITY));
+    // A team with a limit on one of the two has none of the other.
+    assert_eq!(limits(2.0, 0.0), (2.0, 0.0));
+    assert_eq!(limits(0.0, 3.0), (0.0, 3.0));
+}
