Pauses: own rights are proven anew, waits for others start anew

Cause: a process that stood still while its clock ran on judged machines, boots, elections and run times by the time that it missed, and what it had in hand upon waking could say that it still led. One module (pause.rs) detects it, each part shifts its own times (resume). Guards, each seen to fail without it: no detection (trace pause_clock_jumps: two machines deleted, unit tests), no proof before a command or write, no proof before a lease, run times learnt through a pause, deadlines that passed in it counted as misses. Ruled out: refusing stale relays in a step of their own (covered already refuses them; taken out again). Not shown by a trace: a deposed leader's act in the stand-in (its peers or its watch tell it first); the unit test shows it.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -51,6 +51,9 @@
 pub const STALE_TURN_MS: u64 = 1_500;
 /// ms from which a turn's length is told in the log: the leader key is renewed each second.
 pub const SLOW_TURN_MS: u64 = 300;
+/// ms between two turns from which the process counts as having stood still: the timers turn ten times a
+/// second, and the longest turns take half a second.
+pub const PAUSE_MS: u64 = 1_000;
 /// ms between two attempts to reach a peer.
 pub const PEER_REDIAL_MS: u64 = 1_000;
 /// ms between pings on a peer link.
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! are never reused.
 use crate::api::Ms;
 use crate::leader::{Ctx, Leader, Stage};
+use crate::pause::Pause;
 use crate::settings::Bucket;
 use std::collections::{HashMap, VecDeque};
 use stonegw_constants as k;
@@ -142,6 +143,20 @@
     }
 }
 
+impl Fleet {
+    /// The process ran again after a pause: nothing arrived or ended in it as far as we know, so that the rates
+    /// leave it out.
+    pub fn resume(&mut self, pause: Pause) {
+        let services = self.arrivals.iter_mut().chain(&mut self.departures);
+        let dated = self.dated.iter_mut().map(|arrival| &mut arrival.at);
+        let gangs = self.gangs.iter_mut().map(|arrival| &mut arrival.at);
+        services
+            .chain(dated)
+            .chain(gangs)
+            .for_each(|at| pause.shift(at));
+    }
+}
+
 impl Leader {
     /// Decides on the fleet's size when it is time, and makes the calls that are due.
     pub fn run_fleet(&mut self, ctx: &mut Ctx) {
--- a/crates/control/src/gang/mod.rs
+++ b/crates/control/src/gang/mod.rs
@@ -10,6 +10,7 @@
 use crate::api::Ms;
 use crate::leader::{Ctx, Leader};
 use crate::ledger::{Phase, Work};
+use crate::pause::Pause;
 use std::collections::BTreeSet;
 use stonegw_constants as k;
 
@@ -66,6 +67,16 @@
 }
 
 impl Gang {
+    /// The leader's process ran again after a pause: its waits go on from here.
+    pub fn resume(&mut self, pause: Pause) {
+        if let GangState::Running { since, .. } = &mut self.state {
+            pause.shift(since);
+        }
+        pause.shift_some(&mut self.ended_at);
+        pause.shift_some(&mut self.reserved_since);
+        pause.shift(&mut self.reserve_after);
+    }
+
     /// The one place where a gang's state changes.
     fn set_state(&mut self, job: &str, to: GangState) {
         if self.state != to {
--- a/crates/control/src/leader/calls.rs
+++ b/crates/control/src/leader/calls.rs
@@ -1,11 +1,16 @@
 //! The calls of the leader that wait for an answer.
 use super::{Item, TransactionSize};
+use crate::api::Ms;
 use crate::fleet::FleetCall;
 
 /// A call that waits for its answer, with what the answer is needed for.
 #[derive(Debug)]
 pub enum Call {
-    Renew,
+    /// Renews the lease of the leader key.
+    Renew {
+        /// When it was asked for: the lease lasts from then on at least.
+        sent: Ms,
+    },
     Load {
         prefix: &'static str,
     },
--- a/crates/control/src/leader/context.rs
+++ b/crates/control/src/leader/context.rs
@@ -11,6 +11,8 @@
     /// What may have been cancelled without our knowledge still ends in time: leases may be
     /// renewed and tasks started.
     pub covered: bool,
+    /// The leader key was seen to be ours since the node's last pause: commands and writes may go out.
+    pub proven: bool,
     pub replica: &'a mut Replica,
     pub reads: &'a mut Bucket,
     pub writes: &'a mut Bucket,
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -321,7 +321,7 @@
                 *settled = true;
             }
             let run_s = p.running_at.map(|t| now.saturating_sub(t) as f64 / 1e3);
-            let run_s = run_s.filter(|_| !p.inherited);
+            let run_s = run_s.filter(|_| !p.inherited && !p.run_untimed);
             exits.push((p.job.clone(), p.index, *cause, run_s));
         }
         drop(m);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -38,6 +38,7 @@
 mod reported_phase;
 mod reread;
 mod results;
+mod resume;
 mod silence;
 mod split;
 mod store;
@@ -211,7 +212,12 @@
             ctx.reads.force(now, 1.0);
             let path = format!("/grants/{}/touch", self.lease);
             let wait = k::STATE_TIMEOUT_MS;
-            ctx.call(Call::Renew, Target::State, "POST", path, vec![], wait);
+            let call = Call::Renew { sent: now };
+            ctx.call(call, Target::State, "POST", path, vec![], wait);
+        }
+        // After a pause another may lead: neither a command nor a write nor a rental goes out.
+        if !ctx.proven {
+            return;
         }
         match self.stage {
             Stage::Loading => self.load(ctx),
@@ -279,10 +285,11 @@
     /// Takes the answer to one of its calls.
     pub fn call_done(&mut self, ctx: &mut Ctx, call: Call, result: CallResult) {
         match call {
-            Call::Renew => {
-                self.renewing = false;
+            Call::Renew { sent } => {
+                // The answer to an earlier try leaves the present one open.
+                self.renewing &= sent != self.renew_sent;
                 if let Ok((200, _)) = result {
-                    self.renewed_at = self.renew_sent;
+                    self.renewed_at = self.renewed_at.max(sent);
                 }
                 if let Ok((404, _)) = result {
                     log::warn!("term {}: the lease is gone", self.term);
--- a/crates/control/src/leader/world_tests.rs
+++ b/crates/control/src/leader/world_tests.rs
@@ -213,11 +213,63 @@
         leader.works.insert(id.into(), work);
     }
 
+    /// What a whole turn of the leader sends, by its paths. `proven`: see [`Ctx`].
+    pub fn sent_in_turn(&mut self, leader: &mut Leader, proven: bool) -> Vec<String> {
+        self.ms += 100;
+        let mut ctx = Ctx {
+            proven,
+            now: Now {
+                ms: self.ms,
+                wall_ms: self.ms,
+            },
+            set: &self.set,
+            may_resign: false,
+            covered: proven,
+            replica: &mut self.replica,
+            reads: &mut self.reads,
+            writes: &mut self.writes,
+            limits: &mut self.limits,
+            out: &mut self.out,
+            calls: &mut vec![],
+        };
+        leader.advance(&mut ctx);
+        let path = |action| match action {
+            crate::api::Action::Call { path, .. } => Some(path),
+            _ => None,
+        };
+        std::mem::take(&mut ctx.out.actions)
+            .into_iter()
+            .filter_map(path)
+            .collect()
+    }
+
+    /// A machine reports.
+    pub fn hear(&mut self, leader: &mut Leader, report: Report) {
+        let mut ctx = Ctx {
+            proven: true,
+            now: Now {
+                ms: self.ms,
+                wall_ms: self.ms,
+            },
+            set: &self.set,
+            may_resign: false,
+            covered: true,
+            replica: &mut self.replica,
+            reads: &mut self.reads,
+            writes: &mut self.writes,
+            limits: &mut self.limits,
+            out: &mut self.out,
+            calls: &mut vec![],
+        };
+        leader.beat(&mut ctx, report);
+    }
+
     /// A tenth of a second: what is due is written, and the answer comes.
     pub fn turn(&mut self, leader: &mut Leader) {
         self.ms += 100;
         let mut calls = vec![];
         let mut ctx = Ctx {
+            proven: true,
             now: Now {
                 ms: self.ms,
                 wall_ms: self.ms,
--- a/crates/control/src/ledger/machine.rs
+++ b/crates/control/src/ledger/machine.rs
@@ -2,6 +2,7 @@
 use super::sums::Shown;
 use super::{Phase, Placement};
 use crate::api::Ms;
+use crate::pause::Pause;
 use std::collections::{BTreeSet, VecDeque};
 use stonegw_constants as k;
 use stonegw_wire::msg::MachineType;
@@ -188,6 +189,25 @@
         }
     }
 
+    /// Its node ran again after a pause: its silence, its boot and its idleness are timed anew, and how long
+    /// its present tasks run is not known.
+    pub fn resume(&mut self, pause: Pause) {
+        if let Some(at) = &mut self.heard {
+            *at = pause.now;
+        }
+        for at in [&mut self.known_since, &mut self.born] {
+            pause.shift(at);
+        }
+        pause.shift_some(&mut self.idle_since);
+        if let Reach::Deaf { since } = &mut self.reach {
+            *since = pause.now;
+        }
+        for p in &mut self.placements {
+            p.run_untimed = true;
+            pause.shift_some(&mut p.exited_at);
+        }
+    }
+
     /// Whether it hears nothing we send.
     pub fn deaf(&self) -> bool {
         matches!(self.reach, Reach::Deaf { .. })
--- a/crates/control/src/ledger/placement.rs
+++ b/crates/control/src/ledger/placement.rs
@@ -65,6 +65,8 @@
     pub sent_seq: u64,
     /// When it was first seen running.
     pub running_at: Option<Ms>,
+    /// A pause of this process fell into it: how long it ran is not known.
+    pub run_untimed: bool,
     /// A command to forget the exited task went out.
     pub clear_sent: bool,
     /// A `run` went out by a direct command, of which copies may arrive late.
@@ -90,6 +92,7 @@
             stop_sent: 0,
             sent_seq: 0,
             running_at: None,
+            run_untimed: false,
             clear_sent: false,
             direct: false,
             exited_at: None,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod limits;
 pub mod node;
 pub mod overdue;
+pub mod pause;
 pub mod preempt;
 pub mod records;
 pub mod replica;
--- a/crates/control/src/node/elect.rs
+++ b/crates/control/src/node/elect.rs
@@ -122,7 +122,8 @@
                 self.set_role(Role::Waiting { until: now + wait });
             }
             (Role::Waiting { until }, None) => {
-                if now >= *until && now >= self.stand_at && self.catalog.is_some() {
+                let due = now >= *until && now >= self.stand_at;
+                if due && self.proven() && self.catalog.is_some() {
                     self.reads.force(now, 1.0);
                     let body = encode(&LeaseRequest {
                         ttl_ms: self.set.tuning.leader_ttl_ms,
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -3,6 +3,7 @@
 use crate::api::{Action, CallError, CallResult, Event, Link, Ms, Now, Target};
 use crate::leader::Leader;
 use crate::limits::{StoreLimits, TransactionSize};
+use crate::pause::PauseDetector;
 use crate::records::{
     self, Common, End, FarRecord, JobRecord, LeaderRecord, Value, COMMON, LEADER,
 };
@@ -30,6 +31,7 @@
 mod peer;
 mod pending;
 mod relay;
+mod resume;
 mod role;
 mod routes;
 mod sync;
@@ -80,6 +82,9 @@
     peers: Vec<Peer>,
     coverage: coverage::Coverage,
     gate: gate::Gate,
+    pauses: PauseDetector,
+    /// When the last pause ended; 0: there was none.
+    resumed_at: Ms,
     hello_at: Ms,
     /// Reports on their way to the leader: who waits, until when, and the report.
     relays: HashMap<u64, (u64, Ms, Report)>,
@@ -158,6 +163,8 @@
             peers,
             coverage,
             gate,
+            pauses: PauseDetector::default(),
+            resumed_at: 0,
             hello_at: 0,
             relays: HashMap::new(),
             next_relay: 0,
@@ -186,6 +193,9 @@
     /// at once for all of it.
     pub fn handle(&mut self, now: Now, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
         self.now = now;
+        if let Some(pause) = self.pauses.turn(now.ms) {
+            self.resume(pause);
+        }
         for event in events {
             self.take(event);
         }
@@ -279,6 +289,7 @@
         let mut ctx = crate::leader::Ctx {
             may_resign,
             covered: self.covered(),
+            proven: self.proven(),
             now: self.now,
             set: &self.set,
             replica: &mut self.replica,
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -67,7 +67,7 @@
     /// if this renewal is the last.
     pub(super) fn covered(&self) -> bool {
         let spare_s = (self.set.cancel_s - self.set.lease_s).max(0.0);
-        self.uncovered_ms() <= (spare_s * k::UNCOVERED_PART * 1e3) as Ms
+        self.proven() && self.uncovered_ms() <= (spare_s * k::UNCOVERED_PART * 1e3) as Ms
     }
 
     /// Hands cancellations that are new to us to all other nodes that can be reached.
--- a/crates/control/src/node/relay_tests.rs
+++ b/crates/control/src/node/relay_tests.rs
@@ -132,3 +132,56 @@
         assert!(burst >= write_rps.min(txn_ops as f64), "{burst}");
     }
 }
+
+/// After a pause what was known before covers no lease: another may lead, and cancellations may have been
+/// confirmed. Only what was asked for since then does.
+#[test]
+fn a_pause_ends_the_permission_to_renew_leases_until_a_read() {
+    let mut set = settings(60.0, 8);
+    set.peers = vec!["node-1".into()];
+    let mut node = Node::new(set, 1);
+    let turn = |node: &mut Node, ms| {
+        node.handle(Now { ms, wall_ms: ms }, [Event::Tick]);
+    };
+    turn(&mut node, 1_000);
+    node.coverage.read(1_000);
+    assert!(node.covered());
+    turn(&mut node, 1_000 + k::PAUSE_MS);
+    assert!(!node.covered(), "nothing was asked for since");
+    // The answer to what was asked before the pause.
+    node.coverage.read(1_000);
+    assert!(!node.covered());
+    node.coverage.read(1_000 + k::PAUSE_MS);
+    assert!(node.covered());
+}
+
+/// Reports that waited for the leader through a pause are refused, and not passed on as if they were new.
+#[test]
+fn stale_relays_are_refused_after_a_pause() {
+    let mut set = settings(60.0, 8);
+    set.peers = vec!["node-1".into()];
+    let mut node = Node::new(set, 1);
+    node.handle(
+        Now {
+            ms: 1_000,
+            wall_ms: 0,
+        },
+        [Event::Tick],
+    );
+    let until = 1_000 + k::RELAY_TIMEOUT_MS;
+    node.relays.insert(1, (7, until, report("host-1")));
+    let ms = until + 5_000;
+    let actions = node.handle(Now { ms, wall_ms: 0 }, [Event::Tick]);
+    let refused = |action: &Action| {
+        matches!(
+            action,
+            Action::Reply {
+                id: 7,
+                status: 503,
+                ..
+            }
+        )
+    };
+    assert!(actions.iter().any(refused));
+    assert!(node.relays.is_empty() && node.reports_via_state.is_empty());
+}
--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -155,7 +155,8 @@
         // Without requests nothing else would notice that the state service is back: the watch
         // may hang, and requests are refused meanwhile.
         let probe = self.state_failed_at.is_some() && now >= self.barrier_at + k::STATE_PROBE_MS
-            || self.confirmation_due();
+            || self.confirmation_due()
+            || !self.proven();
         if (!self.waiting.is_empty() || probe)
             && self.sync == Sync::Live
             && self.barriers < 2
@@ -341,6 +342,10 @@
 
     /// After a barrier: the copy is as new as the request.
     pub(super) fn answer(&mut self, p: Pending) {
+        // Read before a pause: other nodes may have told something newer since.
+        if self.now.ms >= p.until {
+            return self.refuse(p.id);
+        }
         match &p.ask {
             Ask::Poll(job) => {
                 if self.replica.jobs.contains_key(job) {
--- a/crates/net/src/net/mod.rs
+++ b/crates/net/src/net/mod.rs
@@ -43,6 +43,8 @@
     /// Connections with something new to send: all that one turn has to say goes out together.
     unsent: Vec<usize>,
     swept: u64,
+    /// When the timers last ran.
+    timed_at: u64,
     accept_paused: bool,
 }
 
@@ -79,6 +81,7 @@
             out: vec![],
             unsent: vec![],
             swept: 0,
+            timed_at: 0,
             accept_paused: false,
         })
     }
@@ -172,6 +175,10 @@
     /// Closes what is past its deadline and redials peers.
     fn timers(&mut self) {
         let now = self.now();
+        let gap = now.saturating_sub(std::mem::replace(&mut self.timed_at, now));
+        if gap >= k::PAUSE_MS {
+            return self.resume(gap);
+        }
         self.close_late_calls(now);
         if now >= self.swept + 1_000 {
             self.swept = now;
@@ -180,6 +187,15 @@
         }
     }
 
+    /// The process stood still: what has come meanwhile is read before anything counts as late, and the
+    /// admission limit learns nothing from requests that waited.
+    fn resume(&mut self, gap: u64) {
+        for c in self.conns.values_mut() {
+            c.deadline += gap;
+            c.asked_at += gap;
+        }
+    }
+
     fn close_late_calls(&mut self, now: u64) {
         let late: Vec<usize> = self
             .calls
--- a/crates/testkit/src/sim/event.rs
+++ b/crates/testkit/src/sim/event.rs
@@ -43,6 +43,8 @@
         result: Result<Answer, CallError>,
     },
     Restart(usize),
+    /// A process that stood still goes on, in that life of it.
+    Resume(usize, u64),
     /// A request of a user or a worker arrives at a node.
     Ask {
         ask: u64,
@@ -141,6 +143,7 @@
         match step {
             Step::Tick(node, life) => self.tick(node, life),
             Step::Restart(node) => self.start_node(node),
+            Step::Resume(node, life) => self.resume(node, life),
             Step::LinkUp(node, life, other) => self.link_up(node, life, other),
             Step::Frame {
                 to,
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -8,6 +8,7 @@
 mod network;
 mod node;
 mod odd;
+mod pause;
 mod room;
 mod rule;
 mod setup;
@@ -58,6 +59,11 @@
     queue: BinaryHeap<Due>,
     pub nodes: Vec<Option<Node>>,
     lives: Vec<u64>,
+    /// Processes that stand still, and by how much each node's steady clock is ahead.
+    pauses: BTreeMap<usize, pause::Pause>,
+    clock_ahead: Vec<Ms>,
+    /// Those that led when they stood still, and had lost the leader key when they went on.
+    deposed_in_pause: BTreeSet<usize>,
     settings: Vec<Settings>,
     pub state: State,
     watches: Vec<Watch>,
@@ -138,6 +144,9 @@
             queue: BinaryHeap::new(),
             nodes: (0..nodes).map(|_| None).collect(),
             lives: vec![0; nodes],
+            pauses: BTreeMap::new(),
+            clock_ahead: vec![0; nodes],
+            deposed_in_pause: BTreeSet::new(),
             settings: setup::settings(nodes),
             state: State::default(),
             watches: vec![],
--- a/crates/testkit/src/sim/node.rs
+++ b/crates/testkit/src/sim/node.rs
@@ -4,7 +4,7 @@
 use super::user::Asker;
 use super::{Sim, STATE_MS};
 use crate::outside::{Answer, Ms};
-use stonegw_control::api::{Action, CallError, Event, Link, Now, Target};
+use stonegw_control::api::{Action, CallError, Event, Link, Target};
 use stonegw_control::node::{Node, Role};
 use stonegw_wire::frame::Frame;
 use stonegw_wire::http::Request;
@@ -26,6 +26,7 @@
         if self.nodes[node].take().is_some() {
             self.note(format!("node-{node} ends"));
             self.lives[node] += 1;
+            self.pauses.remove(&node);
             self.at(self.now + back_ms, Step::Restart(node));
             for other in 0..self.nodes.len() {
                 if let Some(link) = self.link(other, node) {
@@ -78,17 +79,22 @@
 
     /// Hands a node one event and carries out what it answers with.
     pub(super) fn give(&mut self, node: usize, event: Event) {
-        let now = Now {
-            ms: self.now + 1,
-            wall_ms: 1_000_000 + self.now,
-        };
+        if let Some(event) = self.keep_for_later(node, event) {
+            self.give_all(node, vec![event]);
+        }
+    }
+
+    /// Hands a node what came together, and carries out what it answers with.
+    pub(super) fn give_all(&mut self, node: usize, events: Vec<Event>) {
+        let now = self.node_time(node);
         let Some(n) = self.nodes[node].as_mut() else {
             return;
         };
         let led = n.role == Role::Leading;
-        let actions = n.handle(now, [event]);
+        let actions = n.handle(now, events);
         let leads = n.role == Role::Leading;
         if leads != led {
+            self.deposed_in_pause.remove(&node);
             let what = if leads { "leads" } else { "leads no more" };
             self.note(format!("node-{node} {what}"));
         }
@@ -130,6 +136,7 @@
 
     fn node_replies(&mut self, node: usize, ask: u64, status: u16, body: Vec<u8>) {
         if status == 200 && matches!(self.asks.get(&ask), Some(Asker::Worker(_))) {
+            self.check_acts_after_pause(node, "a lease is renewed");
             self.given(node, &body);
         }
         let when = self.now + self.wire_ms;
@@ -173,6 +180,7 @@
 
     fn node_calls(&mut self, call: Call, timeout_ms: Ms) {
         let caller = call.caller;
+        self.check_call_after_pause(&call);
         if let Some(trap) = self.trapped(&call, TrapKind::CrashBefore) {
             return self.crash(caller.node, trap.ms);
         }
--- a/crates/testkit/src/trace/act.rs
+++ b/crates/testkit/src/trace/act.rs
@@ -95,6 +95,11 @@
                 sim.crash(n, ms_or(word(line, 2), BACK_MS));
             }
         }
+        "pause" => {
+            for n in targets(sim, who) {
+                sim.pause(n, ms(word(line, 2)), ms_or(word(line, 3), 0));
+            }
+        }
         "lone" => {
             let until = sim.now + ms(word(line, 2));
             sim.lone = targets(sim, who).first().map(|n| (*n, until));
--- a/crates/testkit/src/trace/mod.rs
+++ b/crates/testkit/src/trace/mod.rs
@@ -21,6 +21,7 @@
 //! | `T cancel-share SHARE S` | from now on such a share of the jobs that `arrive` is cancelled, up to so long after its submission |
 //! | `T cancel-at-end JOB [LAG]` | its user cancels in the moment its last task ends, or so much later |
 //! | `T crash leader\|all\|N [BACK]` | the process ends, back after so many seconds (4) |
+//! | `T pause leader\|all\|N S [JUMP]` | the process stands still for so long while its clock runs on, in the end so much further than time |
 //! | `T trap crash-before\|crash-after KEY [BACK]` | the process ends before or after the next transaction on such a key |
 //! | `T trap lose-answer KEY` | its answer is lost |
 //! | `T trap delay KEY S` | that transaction arrives so much later |
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -34,6 +34,12 @@
 
 traces!(
     quiet_day,
+    pause_leader_deposed,
+    pause_leader_not_deposed,
+    pause_clock_jumps,
+    pause_followers,
+    pause_in_election,
+    all_silent_90_s,
     leader_ends_before_placement_is_stored,
     leader_ends_after_placement_is_stored,
     leader_ends_while_tasks_run,
