Broken jobs are told from faulty machines, and retried one task at a time

Now: Failures (per job): rounds with doubling waits, capped, spread by chance; broken after three machines with no task done: no machine avoided, no rental, no kept room, no preemption, no miss counted, one task at a time. A machine is faulty by evidence of three, a job with done tasks weighing two. Not yet: the count of failures is not kept across a change of leader.

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -273,8 +273,18 @@
 pub const START_RETRY_MS: u64 = 1_000;
 /// ms, longest wait between starts of a task that keeps failing.
 pub const START_RETRY_MAX_MS: u64 = 60_000;
-/// `error` exits on a machine, by different jobs, that make it faulty.
-pub const FAULTY_ERRORS: usize = 2;
+/// Doublings of that wait at most, so that it can't overflow.
+pub const START_RETRY_DOUBLINGS: u32 = 10;
+/// One in so many parts of the wait is left to chance.
+pub const START_RETRY_JITTER_PART: u64 = 4;
+/// Machines on which a job fails, with no task done, that show that it fails on every one: two may both be
+/// faulty, three hardly.
+pub const BROKEN_JOB_MACHINES: usize = 3;
+/// Evidence against a machine, from jobs that failed there, that makes it faulty.
+pub const FAULTY_EVIDENCE: usize = 3;
+/// What a job weighs in it that has had tasks done elsewhere; one that has had none weighs one, since it
+/// may itself be broken.
+pub const PROVEN_JOB_EVIDENCE: usize = 2;
 /// s of saving allowed on top of `save_s` when a task is stopped.
 pub const WIND_DOWN_MARGIN_S: f64 = 1.0;
 /// Resources below this are rounding, not room.
@@ -381,8 +391,6 @@
 
 // ---- Fleet ------------------------------------------------------------------------------
 
-/// Failed starts of a job after which nothing is rented for it: most likely it fails everywhere.
-pub const RENT_FAILURES: u32 = 8;
 /// ms between fleet decisions.
 pub const FLEET_MS: u64 = 2_000;
 /// ms between machine lists.
--- a/crates/control/src/fleet/demand.rs
+++ b/crates/control/src/fleet/demand.rs
@@ -79,7 +79,7 @@
     /// How many waiting tasks of a job its team may still start. `None`: the job wants no machine.
     fn tasks_to_rent_for(&self, ctx: &Ctx, id: &str, work: &Work) -> Option<usize> {
         let waiting = work.pending.len() + self.machines.held_of(id);
-        if waiting == 0 || work.ending || work.failures > k::RENT_FAILURES {
+        if waiting == 0 || work.ending || work.failures.job_is_broken() {
             return None;
         }
         let spec = &work.spec;
@@ -104,7 +104,7 @@
             let Some(work) = self.works.get(&job) else {
                 continue;
             };
-            if work.failures > k::RENT_FAILURES || !self.allows_whole(ctx, work) {
+            if work.failures.job_is_broken() || !self.allows_whole(ctx, work) {
                 continue;
             }
             let mut spec = work.spec.clone();
@@ -119,7 +119,7 @@
 
     /// Free slots that the sizing counts on machines where the job failed or that don't hear us.
     fn useless_slots(&self, work: &Work, spec: &JobSpec) -> u32 {
-        let useless = |m: &&Machine| work.bad.contains(&m.id) || !m.trusted();
+        let useless = |m: &&Machine| work.failures.avoids(&m.id) || !m.trusted();
         let machines = self.machines.values().filter(|m| m.life == Life::Up);
         let machines = machines.filter(useless);
         let suits = |m: &&Machine| allowed(spec, &m.kind, &m.zone, m.spot);
--- a/crates/control/src/gang/mod.rs
+++ b/crates/control/src/gang/mod.rs
@@ -47,6 +47,8 @@
     ended_at: Option<Ms>,
     /// Attempts that this leader began.
     attempts: u32,
+    /// A pause of this process fell into its run: how long it takes is not known.
+    run_untimed: bool,
     /// Since when room is reserved for it.
     reserved_since: Option<Ms>,
     /// No room is reserved for it before.
@@ -60,6 +62,7 @@
             dropped: false,
             ended_at: None,
             attempts: 0,
+            run_untimed: false,
             reserved_since: None,
             reserve_after: 0,
         }
@@ -71,6 +74,7 @@
     pub fn resume(&mut self, pause: Pause) {
         if let GangState::Running { since, .. } = &mut self.state {
             pause.shift(since);
+            self.run_untimed = true;
         }
         pause.shift_some(&mut self.ended_at);
         pause.shift_some(&mut self.reserved_since);
@@ -281,7 +285,7 @@
         }
         work.done_count = work.spec.tasks;
         let first_attempt_run = work.gang.as_ref().and_then(|gang| match gang.state {
-            GangState::Running { attempt, since } if gang.attempts == 1 => {
+            GangState::Running { attempt, since } if gang.attempts == 1 && !gang.run_untimed => {
                 let ours = attempt / k::ATTEMPTS_PER_TERM == self.term;
                 ours.then(|| now.saturating_sub(since) as f64 / 1e3)
             }
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -342,6 +342,10 @@
                 w.done_count += 1;
                 w.take(index);
                 w.dropped.remove(&index);
+                if w.failures.job_is_broken() {
+                    w.retry_at = now;
+                }
+                w.failures.task_done();
                 let chunk = w.chunks.entry(index / k::DONE_CHUNK);
                 let chunk = chunk.or_insert_with(|| Chunk::new(Stored::absent()));
                 if !chunk.stored.dirty {
@@ -357,32 +361,4 @@
             self.unhold(&job, index);
         }
     }
-
-    /// A task exited without being done.
-    fn failed(&mut self, now: Ms, id: &str, job: &str, index: u32, cause: ExitCause) {
-        log::info!("{job}/{index} on {id}: {cause:?}");
-        let wait = |n: u32| (k::START_RETRY_MS << n.min(10)).min(k::START_RETRY_MAX_MS);
-        let (Some(w), Some(mut m)) = (self.works.get_mut(job), self.machines.edit(id)) else {
-            return;
-        };
-        match cause {
-            ExitCause::Error => {
-                w.failures += 1;
-                w.bad.insert(id.to_owned());
-                w.retry_at = now + wait(w.failures);
-                m.errors.insert(job.to_owned());
-                if m.errors.len() >= k::FAULTY_ERRORS && m.life == Life::Up {
-                    m.set_life(Life::Draining);
-                }
-            }
-            ExitCause::Unknown | ExitCause::Busy => {
-                w.failures += 1;
-                w.retry_at = now + wait(w.failures);
-            }
-            ExitCause::NoRoom => m.full_until = now + k::START_RETRY_MS * 2,
-            _ => {}
-        }
-        drop(m);
-        self.back(job, index);
-    }
 }
--- a/crates/control/src/leader/load.rs
+++ b/crates/control/src/leader/load.rs
@@ -156,6 +156,9 @@
                     self.due.insert(job.into());
                 }
                 work.done_count = work.spec.tasks - work.pending.len() as u32;
+                if work.done_count > 0 {
+                    work.failures.task_done();
+                }
                 let stored = Stored::at(e.version);
                 work.chunks.insert(chunk, Chunk::new(stored));
                 self.sched.inherit(job, e.value.runs, e.value.run_s);
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -14,6 +14,7 @@
 use crate::replica::Replica;
 use crate::schedule::Scheduler;
 use crate::settings::{Bucket, Settings};
+use rand::{rngs::SmallRng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use stonegw_constants as k;
 use stonegw_wire::frame::{self, Counts};
@@ -27,6 +28,7 @@
 mod command;
 mod context;
 mod draft;
+mod failed;
 mod hear;
 mod item;
 mod jobs;
@@ -83,6 +85,8 @@
     renewing: bool,
     load: Option<(&'static str, Option<String>, bool, Ms)>,
     next_attempt: u64,
+    /// For waits that are spread by chance.
+    rng: SmallRng,
     pub catalog: Catalog,
     pub machines: Machines,
     pub works: BTreeMap<String, Work>,
@@ -160,6 +164,7 @@
             renewing: false,
             load: Some((MACHINES, None, false, now)),
             next_attempt: term * k::ATTEMPTS_PER_TERM,
+            rng: SmallRng::seed_from_u64(term),
             catalog,
             machines: Machines::default(),
             works: BTreeMap::new(),
--- a/crates/control/src/leader/place.rs
+++ b/crates/control/src/leader/place.rs
@@ -33,9 +33,7 @@
             return false;
         };
         w.take(index);
-        w.moved_at = Some(self.now_ms);
-        // Also a start out of a machine's queue is one that was owed: else room stays kept for it.
-        w.owed = w.owed.saturating_sub(1);
+        w.started(self.now_ms);
         m.shard = Some(shard);
         log::debug!("place {job}/{index}#{attempt} on {machine}");
         m.placements.push(Placement {
--- a/crates/control/src/ledger/work.rs
+++ b/crates/control/src/ledger/work.rs
@@ -1,9 +1,10 @@
 //! A job's work: its waiting and finished tasks, failures and deadline.
-use super::Chunk;
+use super::{Chunk, Failures};
 use crate::api::Ms;
 use crate::gang::Gang;
 use crate::records::Bitmap;
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
+use stonegw_constants as k;
 use stonegw_wire::msg::{JobKind, JobSpec, Priority};
 
 /// An accepted job that has not ended.
@@ -25,10 +26,8 @@
     pub chunks: BTreeMap<u32, Chunk>,
     /// The end is being stored.
     pub ending: bool,
-    /// Machines where it failed.
-    pub bad: HashSet<String>,
-    /// Failed attempts so far.
-    pub failures: u32,
+    /// Failed starts.
+    pub failures: Failures,
     /// No attempt starts before.
     pub retry_at: Ms,
     /// Its deadline has passed.
@@ -56,8 +55,7 @@
             done_count: 0,
             chunks: BTreeMap::new(),
             ending: false,
-            bad: HashSet::new(),
-            failures: 0,
+            failures: Failures::default(),
             retry_at: 0,
             missed: false,
             moved_at: None,
@@ -71,6 +69,28 @@
         Some(due - (wall_ms as f64 - self.at as f64) / 1e3)
     }
 
+    /// How many of its tasks may start now: none while it waits after a failure, and one at a time of a job that
+    /// failed on every machine so far.
+    pub fn startable(&self, now: Ms) -> usize {
+        if now < self.retry_at {
+            0
+        } else if self.failures.job_is_broken() {
+            1
+        } else {
+            usize::MAX
+        }
+    }
+
+    /// A task was placed. The others of a job that failed everywhere wait for its outcome.
+    pub fn started(&mut self, now: Ms) {
+        self.moved_at = Some(now);
+        // Also a start out of a machine's queue is one that was owed: else room stays kept for it.
+        self.owed = self.owed.saturating_sub(1);
+        if self.failures.job_is_broken() && self.gang.is_none() {
+            self.retry_at = now + k::START_RETRY_MAX_MS;
+        }
+    }
+
     /// Whether it is urgent: of high priority, or a service.
     pub fn urgent(&self) -> bool {
         self.spec.priority >= Priority::High || self.spec.kind == JobKind::Service
--- a/crates/control/src/overdue.rs
+++ b/crates/control/src/overdue.rs
@@ -23,7 +23,9 @@
     fn count_owed(&mut self, ctx: &Ctx) {
         let now = ctx.now.ms;
         for (id, w) in &mut self.works {
-            if w.pending.is_empty() || w.ending || w.urgent() {
+            // No room is kept for a job that fails everywhere.
+            let broken = w.failures.job_is_broken();
+            if w.pending.is_empty() || w.ending || w.urgent() || broken {
                 w.owed = 0;
                 continue;
             }
@@ -167,7 +169,8 @@
             return false;
         };
         let spec = &w.spec;
-        if !self.allows(ctx, spec, (0.0, 0.0)) || self.team_kept(spec) {
+        let startable = w.startable(ctx.now.ms) > 0;
+        if !startable || !self.allows(ctx, spec, (0.0, 0.0)) || self.team_kept(spec) {
             return false;
         }
         let takes = |m: &&Machine| {
@@ -200,6 +203,9 @@
         let Some(index) = w.next_fresh().or_else(|| w.pending.first().copied()) else {
             return false;
         };
+        if w.startable(ctx.now.ms) == 0 {
+            return false;
+        }
         let spec = w.spec.clone();
         if !self.allows(ctx, &spec, (0.0, 0.0)) {
             let kept = Kept::Team(spec.team);
--- a/crates/control/src/preempt.rs
+++ b/crates/control/src/preempt.rs
@@ -313,6 +313,7 @@
             .works
             .iter()
             .filter(|(_, w)| !w.ending && ctx.now.ms >= w.retry_at && w.spec.deadline_s.is_some())
+            .filter(|(_, w)| !w.failures.job_is_broken())
             .filter(|(_, w)| {
                 let age = ctx.now.wall_ms.saturating_sub(w.at);
                 age > k::GUARANTEE_WAIT_MS && w.due_s(ctx.now.wall_ms).is_some_and(|d| d > 0.0)
--- a/crates/control/src/schedule/first_fit.rs
+++ b/crates/control/src/schedule/first_fit.rs
@@ -19,7 +19,7 @@
     /// `None`: more than this decides.
     fn of(w: &Work) -> Option<Shape> {
         let s = &w.spec;
-        (!s.one_zone && !s.spread && w.bad.is_empty()).then(|| Shape {
+        (!s.one_zone && !s.spread && !w.failures.avoids_any()).then(|| Shape {
             size: (s.cpus, s.gpus, s.memory_gb),
             types: s.types.clone(),
             zone: s.zone.clone(),
@@ -117,6 +117,7 @@
             let making = self.sched.making.iter().any(|m| m.job == job);
             let hopeless_now = shape.as_ref().is_some_and(|s| hopeless.contains(s));
             if urgent
+                && !w.failures.job_is_broken()
                 && !making
                 && !hopeless_now
                 && self.allows(ctx, &w.spec, (0.0, 0.0))
@@ -135,6 +136,9 @@
             let Some(w) = self.works.get(job) else {
                 return true;
             };
+            if w.startable(ctx.now.ms) == 0 {
+                return true;
+            }
             let late = w.due_s(ctx.now.wall_ms).is_some_and(|d| d <= 0.0);
             let index = if immediate(w) || late {
                 w.pending.first().copied()
--- a/crates/control/src/schedule/mapping.rs
+++ b/crates/control/src/schedule/mapping.rs
@@ -118,6 +118,10 @@
         for w in self.works.values_mut() {
             if !w.missed && w.due_s(wall_ms).is_some_and(|d| d <= 0.0) {
                 w.missed = true;
+                // That a job fails everywhere tells nothing of the load.
+                if w.failures.job_is_broken() {
+                    continue;
+                }
                 misses += (w.spec.tasks - w.done_count) as usize;
             }
         }
@@ -273,13 +277,13 @@
         }
         let mut out = vec![];
         for w in self.works.values() {
-            if immediate(w) || w.ending || now < w.retry_at || w.pending.is_empty() {
+            if immediate(w) || w.ending || w.startable(now) == 0 || w.pending.is_empty() {
                 continue;
             }
             let Some(due) = w.due_s(ctx.now.wall_ms).filter(|d| *d > 0.0) else {
                 continue;
             };
-            let left = w.fresh();
+            let left = w.fresh().min(w.startable(now));
             if left == 0 {
                 continue;
             }
--- a/crates/control/src/schedule/mod.rs
+++ b/crates/control/src/schedule/mod.rs
@@ -157,7 +157,7 @@
         let spec = &w.spec;
         (!m.spot || spec.spot)
             && spec.types.as_ref().is_none_or(|t| t.contains(&m.kind))
-            && !w.bad.contains(&m.id)
+            && !w.failures.avoids(&m.id)
             && zone_allows(&self.machines, w, &m.zone)
             && self.record_has_room(m, &spec.id)
     }
--- a/crates/testkit/src/sim/command.rs
+++ b/crates/testkit/src/sim/command.rs
@@ -7,6 +7,8 @@
 use stonegw_wire::msg::*;
 
 const FETCH_MS: Ms = 1_000;
+/// Tasks of a broken job fail so soon after they start.
+pub(super) const FAILS_AFTER_MS: Ms = 300;
 
 /// Whether a worker carries out a direct command.
 fn entitled(orders: &Orders, worker: &Worker) -> bool {
@@ -153,9 +155,10 @@
             return self.note(format!("{}#{} was done before", key.0, key.1));
         }
         let gang = j.spec.kind == JobKind::Gang;
+        let run_ms = if j.broken { FAILS_AFTER_MS } else { j.run_ms };
         (t.state, t.until) = match gang {
             true => (TaskState::Gathering, now + GANG_WAIT_MS),
-            false => (TaskState::Running, now.saturating_add(j.run_ms)),
+            false => (TaskState::Running, now.saturating_add(run_ms)),
         };
         self.started(id, &key.0, key.1);
     }
--- a/crates/testkit/src/sim/gang.rs
+++ b/crates/testkit/src/sim/gang.rs
@@ -1,5 +1,6 @@
 //! Gangs: tasks of one attempt find each other across the machines, start together, are done
 //! together, and save together when they are stopped in time.
+use super::command::FAILS_AFTER_MS;
 use super::{job_of, split_task, Sim, GANG_PEER_MS};
 use crate::outside::{GangRunId, Ms, TaskKey};
 use std::collections::BTreeMap;
@@ -119,6 +120,9 @@
         if !self.jobs[&job].finished.is_empty() {
             self.broke(format!("ran_again {job} after it was done"));
         }
+        if self.jobs[&job].broken {
+            self.later(FAILS_AFTER_MS, vec!["fail".into(), format!("{job}/0")]);
+        }
         let j = self.jobs.get_mut(&job).expect("job");
         j.begun.get_or_insert(now);
         j.waits_since = None;
--- a/crates/testkit/src/sim/user.rs
+++ b/crates/testkit/src/sim/user.rs
@@ -17,6 +17,8 @@
 pub struct Job {
     pub spec: JobSpec,
     pub run_ms: Ms,
+    /// Its tasks fail on every machine.
+    pub broken: bool,
     pub accepted: bool,
     pub ended: Option<JobPhase>,
     pub cancel_asked: bool,
@@ -49,6 +51,7 @@
         Job {
             spec,
             run_ms,
+            broken: false,
             accepted: false,
             ended: None,
             cancel_asked: false,
--- a/crates/testkit/src/sim/worker.rs
+++ b/crates/testkit/src/sim/worker.rs
@@ -1,7 +1,7 @@
 //! A worker's own turns: its lease, its tasks, its reports.
 use super::event::Step;
 use super::user::Asker;
-use super::{split_task, Sim, LEASE_MS, REPORT_MS};
+use super::{job_of, split_task, Sim, LEASE_MS, REPORT_MS};
 use crate::outside::{Ms, TaskKey, Worker};
 use std::collections::BTreeMap;
 use stonegw_wire::http::Request;
@@ -114,6 +114,7 @@
         let w = self.workers.get_mut(id).expect("worker");
         for ((task, _), t) in w.tasks.iter_mut().filter(|(_, t)| now >= t.until) {
             match t.state {
+                TaskState::Running if self.jobs[job_of(task)].broken => t.exit(ExitCause::Error),
                 TaskState::Running => {
                     t.exit(ExitCause::Done);
                     done.push(task.clone());
--- a/crates/testkit/src/trace/act.rs
+++ b/crates/testkit/src/trace/act.rs
@@ -44,6 +44,8 @@
                 j.cancel_asked = true;
             }
         }
+        "broken" => sim.jobs.get_mut(id).expect("job").broken = true,
+        "mended" => sim.jobs.get_mut(id).expect("job").broken = false,
         "cancel-now" => {
             for n in targets(sim, word(line, 2)) {
                 sim.cancel_now(id, n);
--- a/crates/testkit/src/trace/mod.rs
+++ b/crates/testkit/src/trace/mod.rs
@@ -16,6 +16,7 @@
 //! | `boot S` | how long machines that are rented take to be up (10 if not said) |
 //! | `capacity N` | machines the cloud has at most |
 //! | `T submit JOB KIND N [key value]...` | keys: cpus, gb, run, estimate, due, team, zone, type, one-zone, spread, spot, priority, image, checkpoint, save |
+//! | `T broken JOB` / `T mended JOB` | from now on its tasks fail soon after they start, on every machine; or do so no more |
 //! | `T cancel JOB` | its user asks to cancel |
 //! | `T cancel-now JOB N` | likewise, in this very moment and at that node |
 //! | `T cancel-share SHARE S` | from now on such a share of the jobs that `arrive` is cancelled, up to so long after its submission |
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -33,6 +33,9 @@
 }
 
 traces!(
+    broken_jobs,
+    broken_for_a_while,
+    broken_gang,
     quiet_day,
     pause_leader_deposed,
     pause_leader_not_deposed,
