--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -84,7 +84,7 @@
 mutant put_off_beside_room waits_beside_room "schedule/mod.rs" 's/self\.place_put_off\(ctx\);/let _ = ctx;/'
 mutant waits_in_a_queue waits_beside_room "schedule/mod.rs" 's/self\.place_put_off\(ctx\);/let _ = ctx;/'
 mutant doubted_machine waits_beside_room "leader/silence.rs" 's/filter\(\|m\| !m\.trusted\(\)/filter(|m| m.deaf()/'
-mutant kept_room_beside_work waits_beside_room "leader/place.rs" 's/w\.owed = w\.owed\.saturating_sub\(1\);//'
+mutant kept_room_beside_work waits_beside_room "ledger/work.rs" 's/self\.owed = self\.owed\.saturating_sub\(1\);//'
 mutant kept_room_is_lent waits_beside_room "overdue.rs" 's/ \|\| lent\.contains\(&m\.id\)/ \|\| false \&\& lent.contains(\&m.id)/'
 mutant gang_half_stored expect "leader/answers.rs" 's/if in_gang \{/if false \&\& in_gang {/'
 mutant gang_half_stored expect "gang/mod.rs" 's/if current\.clone\(\)\.any\(\|m\| m\.phase == Phase::New\)/if false/'
