--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -67,6 +67,9 @@
 pub const ADMIT_MIN: f64 = 8.0;
 /// Most requests in progress, whatever the measured times say; bounds memory.
 pub const ADMIT_MAX: f64 = 512.0;
+/// Part of the limit that questions may take: users ask again soon, and a storm of questions must not keep
+/// submissions and cancellations out.
+pub const ADMIT_QUESTIONS_PART: f64 = 0.75;
 /// Where the limit starts.
 pub const ADMIT_START: f64 = 64.0;
 /// A measured time above this many times the usual one shrinks the limit.
--- a/crates/control/src/node/relay.rs
+++ b/crates/control/src/node/relay.rs
@@ -329,4 +329,4 @@
 
 #[cfg(test)]
 #[path = "relay_tests.rs"]
-mod tests;
+pub(super) mod tests;
--- a/crates/control/src/node/relay_tests.rs
+++ b/crates/control/src/node/relay_tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-fn settings(write_rps: f64, txn_ops: usize) -> Settings {
+pub(in crate::node) fn settings(write_rps: f64, txn_ops: usize) -> Settings {
     Settings {
         node: "node-0".into(),
         zone: "a".into(),
--- a/crates/control/src/node/users.rs
+++ b/crates/control/src/node/users.rs
@@ -412,3 +412,7 @@
         running: None,
     }
 }
+
+#[cfg(test)]
+#[path = "users_tests.rs"]
+mod tests;
--- a/crates/net/src/admit.rs
+++ b/crates/net/src/admit.rs
@@ -27,11 +27,13 @@
 }
 
 impl Admission {
-    /// `question`: what a poll asks about. One turned away for long comes in whatever the limit.
+    /// `question`: what a poll asks about. Questions leave a part of the limit to submissions and
+    /// cancellations, however many there are; one turned away for long comes in whatever the limit.
     pub fn enter(&mut self, now: u64, question: Option<&str>) -> bool {
         let since = question.and_then(|q| self.shed.get(q)).copied();
         let due = since.is_some_and(|at| now >= at + k::ADMIT_FAIR_MS);
-        let ok = (self.in_progress as f64) < self.limit || due;
+        let part = question.map_or(1.0, |_| k::ADMIT_QUESTIONS_PART);
+        let ok = (self.in_progress as f64) < self.limit * part || due;
         if ok {
             self.in_progress += 1;
         }
--- a/crates/net/tests/admit.rs
+++ b/crates/net/tests/admit.rs
@@ -36,3 +36,17 @@
     assert!(answered >= 5, "{answered}");
     assert!(!a.enter(75_000, Some("/submissions/run-2")));
 }
+
+/// Users who ask many times as often must not keep submissions and cancellations out.
+#[test]
+fn a_storm_of_questions_leaves_room_for_submissions() {
+    let mut a = Admission::default();
+    let questions = (0..10_000)
+        .filter(|n| a.enter(0, Some(&format!("/submissions/run-{n}"))))
+        .count();
+    assert!(questions > 0);
+    assert!(
+        a.enter(0, None),
+        "a submission beside {questions} questions"
+    );
+}
