--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -114,7 +114,10 @@
             m.images.clear();
         }
         drop(m);
-        self.wake |= first;
+        if first {
+            self.wake = true;
+            self.machine_booted(&id);
+        }
         if new_session {
             self.all_gone(&id, Gone::Session { inherited_too });
         }
