Limits that bounded the fleet: answers of the state service, reports handed on, backlogs

Found by going through the constants for 4,000 machines: changes of more than 8 MiB in one answer were asked for again for ever (now the list is read); a node handed on at most eight records of reports at a time whatever a transaction holds (now as many as it holds); the backlog of a peer's link took 2,000 machines' reports (now 6,000), 512 requests in progress and 4,096 jobs remembered as turned away (now 4,096 and 32,768).

--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -8,8 +8,8 @@
 
 /// Bytes. The protocol bounds bodies at 64 KiB.
 pub const MAX_BODY: usize = 64 * 1024;
-/// Bytes. Watch and list answers are larger: lists go to 512 KiB, watches have no limit, so
-/// this only stops a runaway peer well before the memory limit.
+/// Bytes. Watch and list answers are larger: lists go to 512 KiB, watches have no limit. Beyond this, well
+/// before the memory limit, the pages of a list are read instead.
 pub const MAX_ANSWER: usize = 8 * 1024 * 1024;
 /// Bytes of request line and headers; far above what users, workers or probes send.
 pub const MAX_HEAD: usize = 8 * 1024;
@@ -36,16 +36,17 @@
 pub const LEAST_SOCKETS: f64 = 128.0;
 /// ms an idle connection of ours is kept: a machine at work is commanded every few seconds.
 pub const IDLE_CALL_MS: u64 = 30_000;
-/// Connections waiting to be accepted: after a crash all machines turn to the same node at once.
-pub const LISTEN_BACKLOG: i32 = 4_096;
+/// Connections waiting to be accepted: after a crash all machines and users turn to the same node at once. The
+/// system may allow fewer.
+pub const LISTEN_BACKLOG: i32 = 16_384;
 /// ms between turns of the timers at most. Each turn costs system calls, which a few per cent of
 /// a core feel; no timer here needs more than a tenth of a second.
 pub const TICK_MS: u64 = 100;
 /// Bytes read from a socket at once.
 pub const READ_CHUNK: usize = 16 * 1024;
 /// Bytes of unsent output after which a peer link is cut: it has stopped reading. The reports of
-/// two thousand machines that come at once, a kilobyte each, pass.
-pub const MAX_BACKLOG: usize = 4 * 1024 * 1024;
+/// six thousand machines that come at once, two kilobytes each, pass.
+pub const MAX_BACKLOG: usize = 12 * 1024 * 1024;
 /// ms that a turn may take before what it decided for the cloud and the workers is void: the
 /// process stood still, and its lease may be over.
 pub const STALE_TURN_MS: u64 = 1_500;
@@ -65,8 +66,9 @@
 
 /// Requests in progress that are always admitted: below this, measuring says nothing.
 pub const ADMIT_MIN: f64 = 8.0;
-/// Most requests in progress, whatever the measured times say; bounds memory.
-pub const ADMIT_MAX: f64 = 512.0;
+/// Most requests in progress, whatever the measured times say; bounds memory. Some twenty thousand users who
+/// ask every 5 s, each answered after a second, stay below it.
+pub const ADMIT_MAX: f64 = 4_096.0;
 /// Part of the limit that questions may take: users ask again soon, and a storm of questions must not keep
 /// submissions and cancellations out.
 pub const ADMIT_QUESTIONS_PART: f64 = 0.75;
@@ -81,8 +83,8 @@
 /// ms after which a job whose polls were turned away is answered whatever the limit: no job may
 /// go unanswered again and again while others are served.
 pub const ADMIT_FAIR_MS: u64 = 8_000;
-/// Jobs remembered as turned away at most.
-pub const ADMIT_SHED: usize = 4_096;
+/// Jobs remembered as turned away at most: as many as six thousand machines run, a hundred bytes each.
+pub const ADMIT_SHED: usize = 32_768;
 /// Weight of a new sample in the usual time.
 pub const ADMIT_WEIGHT: f64 = 0.02;
 /// s told to a client that found the limit reached.
@@ -226,8 +228,10 @@
 /// ms between two reports of a machine handed on through the state service, if nothing
 /// changed.
 pub const FAR_REPEAT_MS: u64 = 6_000;
-/// Records in which a node hands reports on in turn: twice as many of the usual size as one
-/// transaction can hold, so that none is soon written over.
+/// Records in which a node hands reports on in turn, over the changes that a transaction can hold: none is
+/// written over by the next transaction.
+pub const FAR_SLOTS_A_CHANGE: usize = 2;
+/// Such records at least, whatever a transaction can hold.
 pub const FAR_SLOTS: usize = 16;
 /// Bytes of JSON that such a record takes besides its reports.
 pub const FAR_HEAD_BYTES: usize = 200;
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -32,6 +32,8 @@
     NotSent,
     /// It may have been carried out, or may yet be.
     Unknown,
+    /// It was answered, but with more than is taken in.
+    TooLarge,
 }
 
 pub type CallResult = Result<(u16, Vec<u8>), CallError>;
--- a/crates/control/src/leader/answers.rs
+++ b/crates/control/src/leader/answers.rs
@@ -100,7 +100,7 @@
                 self.flush_at = now + k::STATE_RETRY_MAX_MS;
             }
             // It may have been carried out, or be applied yet: read the stamps before writing.
-            Err(CallError::Unknown) => {
+            Err(CallError::Unknown | CallError::TooLarge) => {
                 self.unsure(&items);
                 self.flush_at = now + k::STATE_RETRY_MS;
             }
--- a/crates/control/src/node/elect.rs
+++ b/crates/control/src/node/elect.rs
@@ -234,6 +234,8 @@
                 }
             },
             Ok((410, _)) => Some(false),
+            // So much has changed that the pages of a list are shorter; the same answer would come again.
+            Err(CallError::TooLarge) => Some(false),
             other => {
                 log::debug!("no changes: {}", describe(&other));
                 None
@@ -299,3 +301,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "elect_tests.rs"]
+mod tests;
--- a/crates/control/src/node/relay_tests.rs
+++ b/crates/control/src/node/relay_tests.rs
@@ -185,3 +185,28 @@
     assert!(actions.iter().any(refused));
     assert!(node.relays.is_empty() && node.reports_via_state.is_empty());
 }
+
+/// A cut may part thousands of machines from the leader: how many reports a transaction takes follows from what
+/// the state service allows, not from a number of records chosen for smaller fleets.
+#[test]
+fn reports_of_many_machines_take_all_that_a_transaction_holds() {
+    let (machines, writes) = (2_000, 32);
+    let mut set = settings(1_000.0, writes);
+    set.value_bytes = 1024;
+    let mut node = Node::new(set, 1);
+    node.sync = Sync::Live;
+    for n in 0..machines {
+        let id = format!("host-{n}");
+        node.reports_via_state
+            .insert(id.clone(), (report(&id), true, 0));
+        node.redirected.insert(id, 0);
+    }
+    let (txn, _) = sent(&mut node, 5_000).expect("due");
+    assert_eq!(txn.writes.len(), writes);
+    let key = |write: &Write<Value>| match write {
+        Write::Put { key, .. } | Write::Delete { key } => key.clone(),
+    };
+    let first: HashSet<String> = txn.writes.iter().map(key).collect();
+    let (txn, _) = sent(&mut node, 5_000 + k::FAR_GAP_MS).expect("due");
+    assert!(txn.writes.iter().all(|write| !first.contains(&key(write))));
+}
--- a/crates/control/src/node/via_state.rs
+++ b/crates/control/src/node/via_state.rs
@@ -47,7 +47,8 @@
         due.sort();
         let most = (self.writes.level(now).max(0.0) as usize).min(self.limits.transaction_writes());
         // Small records are many: none may be written over in the transaction that wrote it.
-        let most = most.min(k::FAR_SLOTS / 2);
+        let slots = self.report_slots();
+        let most = most.min(slots / k::FAR_SLOTS_A_CHANGE);
         if due.is_empty() || most == 0 || !self.reads.take(now, 1.0) {
             return;
         }
@@ -69,7 +70,8 @@
                 continue;
             }
             if bytes + size > room {
-                let full = write_via_state(&self.set.node, &mut self.via_state_slot, &mut batch);
+                let full =
+                    write_via_state(&self.set.node, &mut self.via_state_slot, slots, &mut batch);
                 txn.writes.push(full);
                 sent.add(bytes + k::FAR_HEAD_BYTES);
                 bytes = 0;
@@ -83,7 +85,7 @@
             machines.push(machine);
         }
         if !batch.is_empty() {
-            let rest = write_via_state(&self.set.node, &mut self.via_state_slot, &mut batch);
+            let rest = write_via_state(&self.set.node, &mut self.via_state_slot, slots, &mut batch);
             txn.writes.push(rest);
             sent.add(bytes + k::FAR_HEAD_BYTES);
         }
@@ -119,11 +121,21 @@
             }
         }
     }
+
+    /// Records in which this node hands reports on in turn.
+    fn report_slots(&self) -> usize {
+        k::FAR_SLOTS.max(self.set.txn_ops * k::FAR_SLOTS_A_CHANGE)
+    }
 }
 
-/// A record of reports, in the next of a node's slots.
-fn write_via_state(node: &str, slot: &mut usize, batch: &mut Vec<Report>) -> Write<Value> {
-    *slot = (*slot + 1) % k::FAR_SLOTS;
+/// A record of reports, in the next of so many slots of a node.
+fn write_via_state(
+    node: &str,
+    slot: &mut usize,
+    slots: usize,
+    batch: &mut Vec<Report>,
+) -> Write<Value> {
+    *slot = (*slot + 1) % slots;
     let reports = std::mem::take(batch);
     let via = node.to_owned();
     Write::Put {
--- a/crates/net/src/event.rs
+++ b/crates/net/src/event.rs
@@ -18,6 +18,8 @@
     NotSent,
     /// It went out at least in part; whether it took effect is unknown.
     Unknown,
+    /// It was answered, with more than is taken in.
+    TooLarge,
 }
 
 /// What happened on the sockets.
--- a/crates/net/src/net/client.rs
+++ b/crates/net/src/net/client.rs
@@ -4,7 +4,7 @@
 use crate::conn::{Conn, Got, Role};
 use crate::event::{Failed, NetEvent};
 use stonegw_constants as k;
-use stonegw_wire::http;
+use stonegw_wire::http::{self, HttpError};
 
 impl Net {
     /// Starts call `call`, which fails if it has no answer after `wait` ms.
@@ -105,6 +105,13 @@
             }
             Ok(None) if got == Got::Data => {}
             Ok(None) => self.close(key),
+            Err(HttpError::BodyTooLarge) => {
+                log::warn!("{addr} answered with more than {} bytes", k::MAX_ANSWER);
+                *call = None;
+                self.calls.remove(&id);
+                self.failed(id, Failed::TooLarge);
+                self.close(key);
+            }
             Err(e) => {
                 log::warn!("{addr} answered with a malformed head: {e:?}");
                 self.close(key);
--- a/crates/stonegwd/src/main.rs
+++ b/crates/stonegwd/src/main.rs
@@ -154,6 +154,7 @@
             result: result.map_err(|e| match e {
                 Failed::NotSent => CallError::NotSent,
                 Failed::Unknown => CallError::Unknown,
+                Failed::TooLarge => CallError::TooLarge,
             }),
         },
         NetEvent::Frame { from, frame } => Event::Frame {
