--- a/crates/constants/src/constants.rs
+++ b/crates/constants/src/constants.rs
@@ -415,15 +415,9 @@
 /// Boot times for which an idle machine is kept: renting it again costs one, so keeping it as
 /// long is never much worse than knowing the future.
 pub const IDLE_BOOTS: f64 = 0.35;
-/// Multiples of the usual boot time after which a booting machine is given up. Usual
+/// Multiples of the catalogue's boot time after which a booting machine is given up. Usual
 /// boots take up to 1.5 times.
 pub const BOOT_GIVE_UP: f64 = 3.0;
-/// Weight of a new boot time in the mean of a type and zone: some ten boots tell that a day is unusual.
-pub const BOOT_WEIGHT: f64 = 0.15;
-/// Least and most that one boot counts for in it, over the catalogue's time.
-pub const BOOT_LEAST_RATIO: f64 = 0.02;
-/// See [`BOOT_LEAST_RATIO`]: it bounds the wait for machines that don't come up.
-pub const BOOT_MOST_RATIO: f64 = 4.0;
 /// Boot overdue from here: it no longer counts as coming.
 pub const BOOT_OVERDUE: f64 = 1.7;
 /// Machines asked for in one request (the protocol's limit).
--- a/crates/control/src/fleet/idle.rs
+++ b/crates/control/src/fleet/idle.rs
@@ -1,6 +1,5 @@
 //! Returning machines: those that are idle or never came up are marked, and their deletion asked
 //! for.
-use super::boots::BootTimes;
 use super::gang_room::GangRoom;
 use super::room::slots_of_type;
 use super::FleetCall;
@@ -21,7 +20,6 @@
     /// Slots to keep for them.
     wanted: f64,
     gang_room: Option<GangRoom>,
-    boots: BootTimes,
     /// How many boots long an idle machine is kept.
     idle_boots: f64,
     /// How long a machine that is up may stay unheard.
@@ -42,7 +40,6 @@
         match machine.life {
             Life::Booting if self.never_came_up(machine) => {
                 log::warn!("machine {} never came up", machine.id);
-                self.record_given_up(machine);
                 machine.set_life(Life::Deleting);
             }
             Life::Draining if machine.idle() && !unsettled => machine.set_life(Life::Deleting),
@@ -54,8 +51,7 @@
 
     /// Whether a booting machine is overdue and nothing was heard of it.
     fn never_came_up(&self, m: &Machine) -> bool {
-        let patient_s = |t: &MachineType| self.boots.patient_s(t, &m.zone);
-        let boot = self.type_of(m).map_or(60.0, patient_s);
+        let boot = self.type_of(m).map_or(60.0, |t| t.boot_s);
         let age = self.now.saturating_sub(m.born) as f64 / 1e3;
         // One that the list calls running is up, and not heard yet by a new leader; it
         // may be behind a cut.
@@ -67,17 +63,6 @@
         over && m.heard.is_none() && m.placements.is_empty()
     }
 
-    /// It would have taken longer than it was waited for.
-    fn record_given_up(&mut self, machine: &Machine) {
-        let Some(machine_type) = self.type_of(machine).cloned() else {
-            return;
-        };
-        if machine.rented {
-            let age_s = self.now.saturating_sub(machine.born) as f64 / 1e3;
-            self.boots.record(&machine_type, &machine.zone, age_s);
-        }
-    }
-
     /// Marks an idle machine for deletion unless its room is kept or it is idle for a short time.
     fn review_idle(&mut self, machine: &mut Machine, unsettled: bool) {
         let since = *machine.idle_since.get_or_insert(self.now);
@@ -87,8 +72,7 @@
         let short = gang_room.is_some_and(|g| g.is_short(gang_slots));
         let kept = slots > 0.0 && self.spare - slots < self.wanted || gang_slots > 0 && short;
         // To rent it again would cost a boot: as long as that it is worth keeping.
-        let expected_s = |t: &MachineType| self.boots.expected_s(t, &machine.zone);
-        let boot = self.type_of(machine).map_or(0.0, expected_s);
+        let boot = self.type_of(machine).map_or(0.0, |t| t.boot_s);
         let patience = (boot * self.idle_boots * 1e3) as u64;
         if self.now >= since + patience && !kept && !unsettled {
             self.spare -= slots;
@@ -122,10 +106,8 @@
             idle_boots: ctx.set.tuning.idle_boots,
             wait_ms: (ctx.set.lease_s * 3e3) as u64,
             gang_room: self.gang_room(ctx),
-            boots: std::mem::take(&mut self.fleet.boots),
         };
         self.machines.edit_all(|m| returning.review(m));
-        self.fleet.boots = returning.boots;
     }
 
     /// Asks the cloud to delete the machines marked for it, again where no answer came.
--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -5,12 +5,10 @@
 use crate::leader::{Ctx, Leader, Stage};
 use crate::pause::Pause;
 use crate::settings::Bucket;
-use boots::BootTimes;
 use std::collections::{HashMap, VecDeque};
 use stonegw_constants as k;
 use stonegw_wire::msg::{Hire, JobSpec, ListedMachine};
 
-mod boots;
 mod calls;
 mod catalog;
 mod dated;
@@ -109,7 +107,6 @@
     next_hire: u64,
     renting: Vec<Renting>,
     refused: HashMap<Offer, Refusal>,
-    boots: BootTimes,
     /// The latest urgent service seen, the size that spare room is kept for.
     pub usual: Option<JobSpec>,
     /// When urgent services arrived of late.
@@ -137,7 +134,6 @@
             next_hire: 0,
             renting: vec![],
             refused: HashMap::new(),
-            boots: BootTimes::default(),
             usual: None,
             arrivals: VecDeque::new(),
             departures: VecDeque::new(),
--- a/crates/control/src/fleet/rent.rs
+++ b/crates/control/src/fleet/rent.rs
@@ -119,10 +119,7 @@
         for id in answer.machines {
             if !self.deleted.contains_key(&id) {
                 self.machines.add(&id, || {
-                    let (kind, zone) = (&offer.machine_type, &offer.zone);
-                    let mut machine = Machine::new(&id, kind, zone, offer.spot, now);
-                    machine.rented = true;
-                    machine
+                    Machine::new(&id, &offer.machine_type, &offer.zone, offer.spot, now)
                 });
             }
         }
--- a/crates/control/src/fleet/size.rs
+++ b/crates/control/src/fleet/size.rs
@@ -91,7 +91,7 @@
             if let Some(machine_type) = self.kind(&hire.machine_type) {
                 for _ in 0..hire.count {
                     rooms.push(Room {
-                        eta_s: self.fleet.boots.expected_s(machine_type, &hire.zone),
+                        eta_s: machine_type.boot_s,
                         machine_type: machine_type.name.clone(),
                         zone: hire.zone.clone(),
                         spot: hire.spot,
@@ -106,15 +106,14 @@
     /// Seconds until the machine is up. `None`: its room doesn't count.
     fn eta_s(&self, ctx: &Ctx, m: &Machine, machine_type: &MachineType) -> Option<f64> {
         let now = ctx.now.ms;
-        let boot_s = self.fleet.boots.expected_s(machine_type, &m.zone);
-        let patient_s = self.fleet.boots.patient_s(machine_type, &m.zone);
+        let boot_s = machine_type.boot_s;
         let age = now.saturating_sub(m.born) as f64 / 1e3;
         // Before the first reports, the list's word is good enough.
         let unheard = self.stage != Stage::Active && m.listed_up && m.life == Life::Booting;
         if m.life == Life::Up && !m.quiet(now, ctx.set.report_s) || unheard {
             return Some(0.0);
         }
-        let coming = m.life == Life::Booting && age < patient_s * k::BOOT_OVERDUE;
+        let coming = m.life == Life::Booting && age < boot_s * k::BOOT_OVERDUE;
         coming.then(|| (boot_s - age).max(boot_s * 0.2))
     }
 
@@ -127,8 +126,7 @@
     }
 
     fn shortest_boot_s(&self) -> f64 {
-        let types = self.catalog.types.iter();
-        let boots = types.map(|t| self.quickest_boot_s(t));
+        let boots = self.catalog.types.iter().map(|t| t.boot_s);
         boots.fold(f64::MAX, f64::min)
     }
 
@@ -172,10 +170,7 @@
             };
             let machine_type = choice.machine_type;
             let mut room = Room {
-                eta_s: self
-                    .fleet
-                    .boots
-                    .expected_s(machine_type, &choice.offer.zone),
+                eta_s: machine_type.boot_s,
                 machine_type: machine_type.name.clone(),
                 zone: choice.offer.zone.clone(),
                 spot: choice.offer.spot,
--- a/crates/control/src/fleet/spare.rs
+++ b/crates/control/src/fleet/spare.rs
@@ -15,9 +15,7 @@
         };
         let types = self.catalog.types.iter();
         let suitable = types.filter(|t| slots_of_type(t, spec) > 0);
-        let boot = suitable
-            .map(|t| self.quickest_boot_s(t))
-            .fold(0.0, f64::max);
+        let boot = suitable.map(|t| t.boot_s).fold(0.0, f64::max);
         let span = ctx.now.ms.saturating_sub(self.since).min(k::ARRIVALS_MS) as f64 / 1e3;
         let span = span.max(boot).max(1.0);
         let (came, went) = (self.fleet.arrivals.len(), self.fleet.departures.len());
@@ -65,10 +63,7 @@
     /// Room on a silent machine, or on one whose boot is overdue, is no room.
     fn counts_as_spare(&self, ctx: &Ctx, m: &Machine, coming: bool) -> bool {
         let now = ctx.now.ms;
-        let boots = &self.fleet.boots;
-        let boot = self
-            .kind(&m.kind)
-            .map_or(0.0, |t| boots.patient_s(t, &m.zone));
+        let boot = self.kind(&m.kind).map_or(0.0, |t| t.boot_s);
         let age = now.saturating_sub(m.born) as f64 / 1e3;
         match m.life {
             Life::Up => !m.quiet(now, ctx.set.report_s) && !m.via_state,
--- a/crates/control/src/leader/hear.rs
+++ b/crates/control/src/leader/hear.rs
@@ -114,10 +114,7 @@
             m.images.clear();
         }
         drop(m);
-        if first {
-            self.wake = true;
-            self.machine_booted(&id);
-        }
+        self.wake |= first;
         if new_session {
             self.all_gone(&id, Gone::Session { inherited_too });
         }
--- a/crates/control/src/ledger/machine.rs
+++ b/crates/control/src/ledger/machine.rs
@@ -72,8 +72,6 @@
     pub known_since: Ms,
     /// Rented at, as far as we know.
     pub born: Ms,
-    /// Rented by this leader, and no pause fell into its boot: how long it takes can be told.
-    pub rented: bool,
     /// Some list of the cloud had it.
     pub listed: bool,
     /// The last list called it running.
@@ -134,7 +132,6 @@
             answered: 0,
             known_since: now,
             born: now,
-            rented: false,
             listed: false,
             listed_up: false,
             missing: 0,
@@ -201,7 +198,6 @@
         for at in [&mut self.known_since, &mut self.born] {
             pause.shift(at);
         }
-        self.rented = false;
         pause.shift_some(&mut self.idle_since);
         if let Reach::Deaf { since } = &mut self.reach {
             *since = pause.now;
