--- a/crates/testkit/mixed/any_node.rs
+++ b/crates/testkit/mixed/any_node.rs
@@ -156,7 +156,10 @@
             call,
             result: result.map_err(|error| match error {
                 new::api::CallError::NotSent => old::CallError::NotSent,
-                new::api::CallError::Unknown => old::CallError::Unknown,
+                // The earlier release was told no more than that it is unknown.
+                new::api::CallError::Unknown | new::api::CallError::TooLarge => {
+                    old::CallError::Unknown
+                }
             }),
         },
         Event::Frame { from, frame } => old::Event::Frame {
