--- a/crates/control/src/fleet/mod.rs
+++ b/crates/control/src/fleet/mod.rs
@@ -141,9 +141,7 @@
             dated: VecDeque::new(),
         }
     }
-}
 
-impl Fleet {
     /// The process ran again after a pause: nothing arrived or ended in it as far as we know, so that the rates
     /// leave it out.
     pub fn resume(&mut self, pause: Pause) {
--- a/crates/control/src/leader/world_tests.rs
+++ b/crates/control/src/leader/world_tests.rs
@@ -144,6 +144,28 @@
     }
 }
 
+/// What a leader may use at the world's present time. A macro, so that it borrows only the parts it names.
+macro_rules! context {
+    ($world:expr, $proven:expr, $calls:expr) => {
+        Ctx {
+            proven: $proven,
+            now: Now {
+                ms: $world.ms,
+                wall_ms: $world.ms,
+            },
+            set: &$world.set,
+            may_resign: false,
+            covered: $proven,
+            replica: &mut $world.replica,
+            reads: &mut $world.reads,
+            writes: &mut $world.writes,
+            limits: &mut $world.limits,
+            out: &mut $world.out,
+            calls: &mut $calls,
+        }
+    };
+}
+
 impl World {
     pub fn new(state: StateService, value_bytes: usize, txn_ops: usize) -> World {
         let set = Settings {
@@ -216,22 +238,8 @@
     /// What a whole turn of the leader sends, by its paths. `proven`: see [`Ctx`].
     pub fn sent_in_turn(&mut self, leader: &mut Leader, proven: bool) -> Vec<String> {
         self.ms += 100;
-        let mut ctx = Ctx {
-            proven,
-            now: Now {
-                ms: self.ms,
-                wall_ms: self.ms,
-            },
-            set: &self.set,
-            may_resign: false,
-            covered: proven,
-            replica: &mut self.replica,
-            reads: &mut self.reads,
-            writes: &mut self.writes,
-            limits: &mut self.limits,
-            out: &mut self.out,
-            calls: &mut vec![],
-        };
+        let mut calls = vec![];
+        let mut ctx = context!(self, proven, calls);
         leader.advance(&mut ctx);
         let path = |action| match action {
             crate::api::Action::Call { path, .. } => Some(path),
@@ -245,22 +253,8 @@
 
     /// A machine reports.
     pub fn hear(&mut self, leader: &mut Leader, report: Report) {
-        let mut ctx = Ctx {
-            proven: true,
-            now: Now {
-                ms: self.ms,
-                wall_ms: self.ms,
-            },
-            set: &self.set,
-            may_resign: false,
-            covered: true,
-            replica: &mut self.replica,
-            reads: &mut self.reads,
-            writes: &mut self.writes,
-            limits: &mut self.limits,
-            out: &mut self.out,
-            calls: &mut vec![],
-        };
+        let mut calls = vec![];
+        let mut ctx = context!(self, true, calls);
         leader.beat(&mut ctx, report);
     }
 
@@ -268,22 +262,7 @@
     pub fn turn(&mut self, leader: &mut Leader) {
         self.ms += 100;
         let mut calls = vec![];
-        let mut ctx = Ctx {
-            proven: true,
-            now: Now {
-                ms: self.ms,
-                wall_ms: self.ms,
-            },
-            set: &self.set,
-            may_resign: false,
-            covered: true,
-            replica: &mut self.replica,
-            reads: &mut self.reads,
-            writes: &mut self.writes,
-            limits: &mut self.limits,
-            out: &mut self.out,
-            calls: &mut calls,
-        };
+        let mut ctx = context!(self, true, calls);
         leader.now_ms = ctx.now.ms;
         leader.lower_value_bytes(ctx.limits.value_bytes());
         if self.answers == Answers::AtOnce {
