--- /dev/null
+++ b/review/standin/controllers.rs
@@ -0,0 +1,106 @@
+//! The controllers: the project's own program, one process each, started with the command of the
+//! deploy file.
+use crate::record::Record;
+use std::fs::File;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+
+extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+const SIGKILL: i32 = 9;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
+
+pub struct Controllers {
+    pub names: Vec<String>,
+    children: Mutex<Vec<Option<Child>>>,
+    settings: Vec<String>,
+    folder: String,
+    run: Vec<String>,
+    record: Arc<Record>,
+}
+
+impl Controllers {
+    pub fn new(folder: &str, settings: Vec<String>, record: Arc<Record>) -> Controllers {
+        let deploy = std::fs::read_to_string("deploy/service.toml").expect("the deploy file");
+        let line = deploy.lines().find(|line| line.starts_with("run")).expect("a run line");
+        let run = line.split('"').nth(1).expect("a command");
+        let mut paths = vec![];
+        for (node, text) in settings.iter().enumerate() {
+            let path = format!("{folder}/hearth-{node}.toml");
+            std::fs::write(&path, text).expect("the settings can be written");
+            paths.push(path);
+        }
+        Controllers {
+            names: (0..paths.len()).map(|node| format!("hearth-{node}")).collect(),
+            children: Mutex::new(paths.iter().map(|_| None).collect()),
+            settings: paths,
+            folder: folder.to_string(),
+            run: run.split_whitespace().map(String::from).collect(),
+            record,
+        }
+    }
+
+    pub fn start(&self, node: usize) {
+        let path = format!("{}/{}.log", self.folder, self.names[node]);
+        let log = File::options().create(true).append(true).open(path).expect("a log");
+        let child = Command::new(&self.run[0])
+            .args(&self.run[1..])
+            .arg(&self.settings[node])
+            .env("LOG_LEVEL", std::env::var("LOG_LEVEL").unwrap_or("info".into()))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the controller starts");
+        self.record.line(&format!("{} starts", self.names[node]));
+        self.children.lock().unwrap()[node] = Some(child);
+    }
+
+    fn signal(&self, node: usize, signal: i32, what: &str) {
+        self.record.say(&format!("{} {what}", self.names[node]));
+        if let Some(child) = &self.children.lock().unwrap()[node] {
+            // SAFETY: the process is a child that has not been waited for.
+            unsafe { kill(child.id() as i32, signal) };
+        }
+    }
+
+    pub fn crash(&self, node: usize) {
+        self.signal(node, SIGKILL, "is killed");
+        if let Some(mut child) = self.children.lock().unwrap()[node].take() {
+            let _ = child.wait();
+        }
+    }
+
+    pub fn stop(&self, node: usize) {
+        self.signal(node, SIGSTOP, "stands still");
+    }
+
+    pub fn go_on(&self, node: usize) {
+        self.signal(node, SIGCONT, "goes on");
+    }
+
+    /// The names of controllers that have ended by themselves.
+    pub fn ended(&self) -> Vec<String> {
+        let mut ended = vec![];
+        for (node, child) in self.children.lock().unwrap().iter_mut().enumerate() {
+            if let Some(child) = child {
+                if let Ok(Some(status)) = child.try_wait() {
+                    ended.push(format!("{} ({status})", self.names[node]));
+                }
+            }
+        }
+        ended
+    }
+}
+
+impl Drop for Controllers {
+    fn drop(&mut self) {
+        for child in self.children.lock().unwrap().iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
