--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -4,7 +4,7 @@
 use crate::value::{map, Value};
 use std::collections::{BTreeMap, HashMap};
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -93,6 +93,8 @@
     pub kinds: Vec<Kind>,
     /// Whether the cloud has machines to rent.
     pub has_capacity: AtomicBool,
+    /// How long a message between a worker and a controller takes.
+    pub latency_ms: AtomicU64,
     rented: Mutex<BTreeMap<String, Vec<String>>>,
     booting: Mutex<BTreeMap<String, Kind>>,
     next_id: Mutex<u64>,
@@ -117,6 +119,7 @@
             on_end: Mutex::new(None),
             kinds,
             has_capacity: AtomicBool::new(false),
+            latency_ms: AtomicU64::new(0),
             rented: Mutex::default(),
             booting: Mutex::default(),
             next_id: Mutex::new(1),
@@ -263,6 +266,19 @@
         answer(&ids)
     }
 
+    /// A machine stops with all that is on it. It stays listed.
+    pub fn die(&self, id: &str) {
+        self.record.say(&format!("{id} stops with all that is on it"));
+        if let Some(worker) = self.workers.lock().unwrap().get(id) {
+            worker.gone.store(true, Ordering::SeqCst);
+        }
+    }
+
+    fn travel(&self) {
+        let latency = self.latency_ms.load(Ordering::SeqCst);
+        std::thread::sleep(Duration::from_millis(latency));
+    }
+
     /// The workers that are there.
     pub fn all(&self) -> Vec<Arc<Worker>> {
         self.workers.lock().unwrap().values().cloned().collect()
@@ -298,6 +314,16 @@
         present.map(|task| task.piece.clone()).collect()
     }
 
+    pub fn is_gone(&self) -> bool {
+        self.gone.load(Ordering::SeqCst)
+    }
+
+    pub fn running(&self) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        let running = state.tasks.iter().filter(|t| matches!(t.phase, Phase::Running { .. }));
+        running.map(|task| task.piece.clone()).collect()
+    }
+
     fn tick_forever(self: Arc<Worker>) {
         while !self.gone.load(Ordering::SeqCst) {
             std::thread::sleep(Duration::from_millis(20));
@@ -373,7 +399,9 @@
                 state.tally += 1;
                 (self.report(&state), state.tenure)
             };
+            self.fleet.travel();
             let answer = call(&nodes[node].1, "POST", "/agent/beat", &body.encode(), REPORT_TIMEOUT);
+            self.fleet.travel();
             let mut pause = None;
             match &answer {
                 Some((200, body)) => {
@@ -461,6 +489,13 @@
 
     /// Direct commands.
     fn answer(&self, request: &Request) -> Reply {
+        self.fleet.travel();
+        let reply = self.execute_direct(request);
+        self.fleet.travel();
+        reply
+    }
+
+    fn execute_direct(&self, request: &Request) -> Reply {
         if self.gone.load(Ordering::SeqCst) {
             return None;
         }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -34,6 +34,7 @@
     let outcome = match case.as_str() {
         "limits" => cases::limits::play(&path, &record, with_trouble),
         "errors" => cases::errors::play(&path, &record, with_trouble),
+        "slow-state" => cases::slow_state::play(&path, &record, with_trouble),
         _ => Outcome::CannotRun,
     };
     if std::env::var("KEEP_LOGS").is_err() {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -5,12 +5,12 @@
 use crate::value::{map, Value};
 use std::collections::{BTreeMap, HashMap};
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 /// The service retains this many changes.
 const RETAINED_CHANGES: usize = 10_000;
-const LATENCY: Duration = Duration::from_millis(5);
 
 #[derive(Clone, Copy)]
 pub struct Limits {
@@ -76,6 +76,7 @@
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
+    pub latency_ms: AtomicU64,
     record: Arc<Record>,
 }
 
@@ -104,6 +105,7 @@
                 counts: BTreeMap::new(),
             }),
             changed: Condvar::new(),
+            latency_ms: AtomicU64::new(5),
             record,
         });
         for (node, listener) in listeners.into_iter().enumerate() {
@@ -174,7 +176,7 @@
     }
 
     fn answer(&self, node: usize, request: &Request) -> Reply {
-        std::thread::sleep(LATENCY);
+        std::thread::sleep(Duration::from_millis(self.latency_ms.load(Ordering::SeqCst)));
         let reply = self.reply(node, request);
         if let Some((status, body)) = &reply {
             let mut state = self.state.lock().unwrap();
