--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 pub mod errors;
 pub mod limits;
+pub mod reclaim;
 pub mod slow_state;
 
 use crate::fleet::job_of;
--- a/review/standin/controllers.rs
+++ b/review/standin/controllers.rs
@@ -63,6 +63,15 @@
         self.children.lock().unwrap()[node] = Some(child);
     }
 
+    /// The process ends without a signal that it could handle.
+    pub fn crash(&self, node: usize) {
+        self.record.say(&format!("{} is killed", self.names[node]));
+        if let Some(mut child) = self.children.lock().unwrap()[node].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     /// The names of controllers that have ended by themselves.
     pub fn ended(&self) -> Vec<String> {
         let mut ended = vec![];
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -32,6 +32,7 @@
     let path = temporary.to_string_lossy().to_string();
     record.say(&format!("case {case}, with the disruption: {with_trouble}"));
     let outcome = match case.as_str() {
+        "reclaim" => cases::reclaim::play(&path, &record, with_trouble),
         "limits" => cases::limits::play(&path, &record, with_trouble),
         "errors" => cases::errors::play(&path, &record, with_trouble),
         "slow-state" => cases::slow_state::play(&path, &record, with_trouble),
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -121,9 +121,11 @@
         self.state.lock().unwrap().limits = limits;
     }
 
-    /// Whether some controller holds the leader key.
-    pub fn has_leader(&self) -> bool {
-        self.state.lock().unwrap().entries.contains_key("c/leader")
+    /// The name of the controller that holds the leader key.
+    pub fn leader(&self) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        let entry = state.entries.get("c/leader")?;
+        Some(entry.value.str("node").to_string())
     }
 
     fn expire_leases(&self) {
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -147,7 +147,7 @@
                 call(client, "GET", "/healthz", &[], timeout)
                     .is_some_and(|(status, _)| status == 200)
             };
-            if self.clients.iter().all(healthy) && self.store.has_leader() {
+            if self.clients.iter().all(healthy) && self.store.leader().is_some() {
                 return true;
             }
             std::thread::sleep(Duration::from_millis(100));
@@ -155,6 +155,15 @@
         false
     }
 
+    /// The number of the node that leads.
+    pub fn leader(&self) -> Option<usize> {
+        let name = self.store.leader()?;
+        self.controllers
+            .names
+            .iter()
+            .position(|other| *other == name)
+    }
+
     fn ask(&self, node: usize, method: &str, path: &str, body: &[u8], timeout: f64) -> Answer {
         let timeout = Duration::from_secs_f64(timeout);
         let answer = call(&self.clients[node], method, path, body, timeout);
