--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,5 @@
-//! Plays one case of the review: `standin CASE FOLDER`. Exits with 1 if the rule was broken, 0 if
-//! it held, and 2 if the case couldn't run. With TROUBLE=0 in the environment the disruption is
-//! left out.
+//! Plays one case of the review: `standin CASE FOLDER with|without`, with its disruption or without
+//! it. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 mod cases;
 mod controllers;
 mod fleet;
@@ -21,11 +20,18 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: standin CASE FOLDER");
+    let [_, case, folder, disruption] = arguments.as_slice() else {
+        eprintln!("usage: standin CASE FOLDER with|without");
         std::process::exit(2);
     };
-    let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let with_trouble = match disruption.as_str() {
+        "with" => true,
+        "without" => false,
+        _ => {
+            eprintln!("the last argument is neither `with` nor `without`");
+            std::process::exit(2);
+        }
+    };
     let record = Arc::new(Record::new(&format!("{folder}/record.txt")));
     let temporary = std::env::temp_dir().join(format!("stonegw-review-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("a temporary folder");
