--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -55,6 +55,9 @@
     /// Jobs that waited for longer than the rule allows.
     pub fn too_long(&self) -> Vec<(String, f64)> {
         let longest = self.longest.iter();
-        longest.filter(|(_, s)| **s > MAX_WAIT_S).map(|(id, s)| (id.clone(), *s)).collect()
+        longest
+            .filter(|(_, s)| **s > MAX_WAIT_S)
+            .map(|(id, s)| (id.clone(), *s))
+            .collect()
     }
 }
