--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -543,11 +543,16 @@
     stale_answers(&site, trouble, old_term)
 }
 
-/// All controllers crash and come back, as they do on any day. Before that the service has taken and
-/// ended as many jobs as come in 35 hours (TROUBLE=0: in one hour) at the usual rate. The platform ends
-/// a process that is over its memory and starts it again.
+/// The service has taken and ended as many jobs as come in 35 hours (TROUBLE=0: in one hour) at the usual
+/// rate. Then all controllers crash and come back, as they do on any day. The platform ends a process that
+/// is over its memory and starts it again.
 fn history(folder: &str, trouble: bool) -> Option<String> {
     let mut deployment = invitations();
+    deployment.teams = vec![
+        ("guest-desk", 250.0, 600.0),
+        ("print-room", 500.0, 1200.0),
+        ("helpline", 500.0, 1000.0),
+    ];
     deployment.times.report_s = 4.0;
     let mut spec_service = submission("run-000001", "guest-desk", "standing", 1, 2.0, 2.5);
     let mut spec_array = submission("run-000002", "guest-desk", "sweep", 2, 2.0, 3.7);
