Fence starts of cancelled jobs where leases are renewed without the leader

Cause: a start command that may still arrive was known to the leader alone. The node that renewed the machine's lease without the leader knew of the cancellation, but stops only what the worker reports. Token and incarnation stayed the same for as long as the lease was renewed, so the worker executed the start when the partition ended.

Change: the fencing tokens from a term up to the next one belong to the term. A node that renews a lease without the leader replies with the revision of the newest cancellation that it has read; the leader starts tasks only with tokens that its replica has read. So the worker rejects every start that was sent without knowledge of that cancellation. A token that a node has not read stops it, as a higher term did, until a read has settled whose it is. Only behind the feature gate, since earlier versions take such a token for a later leader's.

The traces cancelled_start_held_in_zone_partition, cancelled_gang_start_held_in_zone_partition, cancelled_start_held_over_leader_change and cancelled_start_lost_in_zone_partition break ran_cancelled on the unchanged code and pass now.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -31,14 +31,7 @@
         write: PendingWrite,
     },
     /// Sends commands to a worker directly, instead of in the reply to a heartbeat.
-    DirectCommand {
-        /// The id of the machine.
-        machine: String,
-        /// The incarnation of the worker that the commands are addressed to.
-        incarnation: u64,
-        /// The attempts that the commands start.
-        started_attempts: Vec<u64>,
-    },
+    DirectCommand(DirectCommand),
     /// Probes a machine that is unreachable or not trusted. A response shows that commands reach
     /// the machine again.
     Probe {
@@ -49,6 +42,19 @@
     Autoscaler(AutoscalerCall),
 }
 
+/// Commands that were sent to a worker directly.
+#[derive(Debug)]
+pub struct DirectCommand {
+    /// The id of the machine.
+    pub machine: String,
+    /// The incarnation of the worker that the commands are addressed to.
+    pub incarnation: u64,
+    /// The fencing token of the commands.
+    pub fencing_token: u64,
+    /// The attempts that the commands start.
+    pub started_attempts: Vec<u64>,
+}
+
 impl LeaderCall {
     /// Returns whether the call goes to the key-value store.
     pub fn targets_store(&self) -> bool {
@@ -57,9 +63,9 @@
             | LeaderCall::LoadRecords { .. }
             | LeaderCall::Commit { .. }
             | LeaderCall::ReadRevision { .. } => true,
-            LeaderCall::DirectCommand { .. }
-            | LeaderCall::Probe { .. }
-            | LeaderCall::Autoscaler(_) => false,
+            LeaderCall::DirectCommand(_) | LeaderCall::Probe { .. } | LeaderCall::Autoscaler(_) => {
+                false
+            }
         }
     }
 }
--- a/crates/control/src/cluster/command_channel.rs
+++ b/crates/control/src/cluster/command_channel.rs
@@ -33,9 +33,10 @@
     pub answered_heartbeats: u32,
     /// The id of the call that sends a direct command, while it has no result.
     pub call_in_flight: Option<u64>,
-    /// Whether a direct start command to the present incarnation failed without a proof that it was
-    /// not sent, so that it may still arrive.
-    pub has_unanswered_start: bool,
+    /// The fencing token of the last direct start commands to the present incarnation that failed
+    /// without a proof that they were not sent, so that they may still arrive. `None` once the
+    /// worker has seen a higher token, with which it rejects them.
+    unanswered_start: Option<u64>,
 }
 
 impl Default for CommandChannel {
@@ -45,7 +46,7 @@
             next_probe_at: 0,
             answered_heartbeats: 0,
             call_in_flight: None,
-            has_unanswered_start: false,
+            unanswered_start: None,
         }
     }
 }
@@ -53,7 +54,23 @@
 impl CommandChannel {
     /// Returns `true` if a direct command may still arrive at the worker.
     pub fn may_deliver_late(&self) -> bool {
-        self.call_in_flight.is_some() || self.has_unanswered_start
+        self.call_in_flight.is_some() || self.unanswered_start.is_some()
+    }
+
+    /// Records that direct start commands with this fencing token may still arrive.
+    pub fn record_unanswered_start(&mut self, fencing_token: u64) {
+        self.unanswered_start = self.unanswered_start.max(Some(fencing_token));
+    }
+
+    /// Records that the worker has seen a fencing token: it rejects commands with a lower one.
+    pub fn record_seen_token(&mut self, fencing_token: u64) {
+        self.unanswered_start
+            .take_if(|start_token| *start_token < fencing_token);
+    }
+
+    /// Records that the worker began a new incarnation, which rejects commands to the earlier one.
+    pub fn record_new_incarnation(&mut self) {
+        self.unanswered_start = None;
     }
 
     /// Records that a command or reply was delivered.
--- a/crates/control/src/cluster/machine.rs
+++ b/crates/control/src/cluster/machine.rs
@@ -58,8 +58,10 @@
     /// reach the machine.
     pub via_store: bool,
     /// Whether the worker has seen this leader's term, that is, whether its newest heartbeat
-    /// carries this leader's fencing token.
+    /// carries a fencing token of this term.
     pub under_current_term: bool,
+    /// The highest fencing token that the worker has shown in a heartbeat.
+    pub fencing_token: u64,
     /// The state of the delivery of commands to the worker.
     pub commands: CommandChannel,
     /// When this leader first learned of the machine.
@@ -117,6 +119,7 @@
             last_heartbeat_at: None,
             via_store: false,
             under_current_term: false,
+            fencing_token: 0,
             commands: CommandChannel::default(),
             known_since: now,
             provisioned_at: now,
--- a/crates/control/src/cluster/machine_heartbeat.rs
+++ b/crates/control/src/cluster/machine_heartbeat.rs
@@ -83,7 +83,7 @@
                 self.id,
                 heartbeat.incarnation
             );
-            self.commands.has_unanswered_start = false;
+            self.commands.record_new_incarnation();
             self.cached_images.clear();
         }
         Some(changes)
@@ -92,6 +92,8 @@
     fn copy_reported_state(&mut self, heartbeat: &Heartbeat, now: Millis) {
         self.incarnation = heartbeat.incarnation;
         self.sequence = heartbeat.sequence;
+        self.fencing_token = self.fencing_token.max(heartbeat.fencing_token);
+        self.commands.record_seen_token(heartbeat.fencing_token);
         self.last_heartbeat_at = Some(now);
         self.absent_listings = 0;
         self.addr = Some(heartbeat.addr.clone());
@@ -110,8 +112,9 @@
         replies_were_lost: bool,
     ) {
         let is_answered = receipt.kind == HeartbeatKind::Answered;
-        let adopted_term = fencing_token == receipt.term && !self.under_current_term;
-        self.under_current_term = fencing_token == receipt.term;
+        let shows_current_term = fencing_token >= receipt.term;
+        let adopted_term = shows_current_term && !self.under_current_term;
+        self.under_current_term = shows_current_term;
         let shows_earlier_term = !self.under_current_term && self.commands.answered_heartbeats > 1;
         if adopted_term || !is_answered {
             self.commands.record_delivered(&self.id);
--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -23,7 +23,8 @@
     /// cancellation deadline.
     pub watermark_current: bool,
     /// Whether the node has read the store, or received answers from all other nodes, since its
-    /// last process pause. Until then another node may lead, so no commands and writes may be sent.
+    /// last process pause, and has read up to every fencing token that it has seen. Until then
+    /// another node may lead, so no commands and writes may be sent.
     pub leadership_confirmed: bool,
     /// The node's copy of the replicated records.
     pub replica: &'a mut Replica,
--- a/crates/control/src/leader/direct_commands.rs
+++ b/crates/control/src/leader/direct_commands.rs
@@ -2,7 +2,7 @@
 use super::commands::CommandPath;
 use super::Leader;
 use crate::api::{describe_result, CallError, CallResult, Target};
-use crate::calls::LeaderCall;
+use crate::calls::{DirectCommand, LeaderCall};
 use crate::cluster::{Machine, Phase};
 use crate::context::LeaderContext;
 use stonegw_constants::{DIRECT_COMMAND_TIMEOUT_MS, STOP_RESEND_INTERVAL_MS};
@@ -32,19 +32,21 @@
         machine_id: &str,
         commands: Vec<Command>,
     ) {
+        let fencing_token = self.command_token(machine_id);
         let Some(mut machine) = self.cluster.machines.edit(machine_id) else {
             return;
         };
         if commands.is_empty() {
             return;
         }
-        let call = LeaderCall::DirectCommand {
+        let call = LeaderCall::DirectCommand(DirectCommand {
             machine: machine_id.to_owned(),
             incarnation: machine.incarnation,
+            fencing_token,
             started_attempts: started_attempts(&commands),
-        };
+        });
         let batch = CommandBatch {
-            fencing_token: self.term,
+            fencing_token,
             incarnation: Some(machine.incarnation),
             commands,
         };
@@ -59,11 +61,10 @@
     pub(super) fn direct_command_done(
         &mut self,
         context: &mut LeaderContext,
-        machine_id: &str,
-        incarnation: u64,
-        started_attempts: Vec<u64>,
+        command: &DirectCommand,
         result: CallResult,
     ) {
+        let machine_id = command.machine.as_str();
         match self.cluster.machines.edit(machine_id) {
             Some(mut machine) => machine.commands.call_in_flight = None,
             None => return,
@@ -82,7 +83,7 @@
         machine.commands.record_undelivered(machine_id, now);
         if result == Err(CallError::NotSent) {
             for placement in &mut machine.placements {
-                if started_attempts.contains(&placement.attempt)
+                if command.started_attempts.contains(&placement.attempt)
                     && placement.phase == Phase::Sent
                     && placement.sent_sequence == 0
                 {
@@ -92,9 +93,14 @@
             return;
         }
         // The command may still arrive, minutes late, as long as this incarnation of the worker
-        // lasts.
-        if machine.incarnation == incarnation && !started_attempts.is_empty() {
-            machine.commands.has_unanswered_start = true;
+        // lasts and its worker has not seen a higher fencing token.
+        if machine.incarnation == command.incarnation
+            && machine.fencing_token <= command.fencing_token
+            && !command.started_attempts.is_empty()
+        {
+            machine
+                .commands
+                .record_unanswered_start(command.fencing_token);
         }
     }
 }
--- a/crates/control/src/leader/fixture_tests.rs
+++ b/crates/control/src/leader/fixture_tests.rs
@@ -5,7 +5,7 @@
 use crate::cluster::JobState;
 use crate::context::LeaderContext;
 use crate::outbox::Outbox;
-use crate::records::{MachineGroupRecord, StoredRecord, LEADER_KEY};
+use crate::records::{LeaderRecord, MachineGroupRecord, StoredRecord, LEADER_KEY};
 use crate::replica::Replica;
 use crate::settings::{Settings, TokenBucket};
 use crate::store_limits::StoreLimits;
@@ -14,7 +14,8 @@
 use std::collections::BTreeMap;
 use stonegw_constants::STORE_RETRY_BACKOFF_MS;
 use stonegw_wire::msg::{
-    decode, encode, json_size_bytes, Catalog, Condition, Entry, Heartbeat, Txn, TxnResponse, Write,
+    decode, encode, json_size_bytes, Catalog, CommandBatch, Condition, Entry, Heartbeat, Txn,
+    TxnResponse, Write,
 };
 
 /// A key-value store that applies transactions at once and rejects those that exceed its limits,
@@ -242,11 +243,26 @@
             .collect()
     }
 
-    /// Delivers a heartbeat to the leader.
-    pub fn deliver_heartbeat(&mut self, leader: &mut Leader, heartbeat: Heartbeat) {
+    /// Delivers a heartbeat to the leader and returns the reply.
+    pub fn deliver_heartbeat(
+        &mut self,
+        leader: &mut Leader,
+        heartbeat: Heartbeat,
+    ) -> Option<CommandBatch> {
         let mut calls = vec![];
         let mut context = context!(self, true, calls);
-        leader.handle_heartbeat(&mut context, heartbeat);
+        leader.handle_heartbeat(&mut context, heartbeat)
+    }
+
+    /// Makes the replica hold the leader key of a term, with all changes up to a revision.
+    pub fn read_leader_key(&mut self, term: u64, revision: u64) {
+        let record = LeaderRecord {
+            node: self.settings.node_name.clone(),
+            nonce: 1,
+            lease: 1,
+        };
+        self.replica.record_own_election(record, term);
+        self.replica.revision = revision;
     }
 
     /// Advances the time by a tenth of a second, commits what is due and delivers the responses.
--- a/crates/control/src/leader/heartbeats.rs
+++ b/crates/control/src/leader/heartbeats.rs
@@ -13,8 +13,7 @@
         context: &mut LeaderContext,
         heartbeat: Heartbeat,
     ) -> Option<CommandBatch> {
-        if heartbeat.fencing_token > self.term || self.deposed {
-            self.deposed = true;
+        if !self.observe_token(context, heartbeat.fencing_token) || self.deposed {
             return None;
         }
         self.cluster.now_ms = context.now.monotonic_ms;
@@ -28,6 +27,8 @@
             }
             return None;
         }
+        let machine_id = heartbeat.machine_id.clone();
+        let worker_token = heartbeat.fencing_token;
         let commands = if self.stage == Stage::Loading {
             // Loading depends on the store, but tasks of cancelled jobs are stopped without waiting
             // for the store.
@@ -36,7 +37,7 @@
             self.commands_for_heartbeat(context, heartbeat)
         };
         Some(CommandBatch {
-            fencing_token: self.term,
+            fencing_token: self.command_token(&machine_id).max(worker_token),
             incarnation: None,
             commands,
         })
@@ -113,9 +114,7 @@
     ) -> bool {
         match decode::<Heartbeat>(body) {
             Ok(heartbeat) if heartbeat.machine_id == machine_id => {
-                if heartbeat.fencing_token > self.term {
-                    self.deposed = true;
-                } else {
+                if self.observe_token(context, heartbeat.fencing_token) {
                     self.apply_heartbeat(context, heartbeat, HeartbeatKind::Unanswered);
                     self.process_exits(context, machine_id);
                 }
@@ -131,3 +130,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "heartbeats_tests.rs"]
+mod tests;
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -66,8 +66,10 @@
 /// The leader of one term.
 pub struct Leader {
     /// The term: the revision that the leader key got when this leader was elected. All commands
-    /// carry it as their fencing token.
+    /// carry a fencing token of this term.
     pub term: u64,
+    /// The highest fencing token that a worker has shown to this leader.
+    pub highest_observed_token: u64,
     /// The id of the lease that the leader key is attached to.
     pub lease: u64,
     /// Whether this leader's term has ended, or the leader must stop leading. The node then drops
@@ -113,6 +115,7 @@
     ) -> Leader {
         Leader {
             term,
+            highest_observed_token: 0,
             lease,
             deposed: false,
             resigned: false,
@@ -174,7 +177,11 @@
     fn advance_stage(&mut self, context: &mut LeaderContext) {
         match self.stage {
             Stage::Loading => self.load_records(context),
-            Stage::AwaitingHeartbeats { until } if context.now.monotonic_ms >= until => {
+            // A leader starts a task only with a fencing token that its replica has read, because it
+            // then knows all cancellations that are older than the token.
+            Stage::AwaitingHeartbeats { until }
+                if context.now.monotonic_ms >= until && context.replica.revision >= self.term =>
+            {
                 self.set_stage(Stage::Active);
                 self.cluster.scheduling_needed = true;
                 // Deadlines missed before the leader became active say nothing about the present
@@ -222,12 +229,25 @@
         self.lease_renewal.is_valid(context)
     }
 
+    /// Records a fencing token that a worker has seen. Returns `false` if it belongs to a later term
+    /// or to one that the replica has not read: another node may lead.
+    fn observe_token(&mut self, context: &LeaderContext, token: u64) -> bool {
+        self.highest_observed_token = self.highest_observed_token.max(token);
+        token <= self.term || context.replica.is_token_of_term(token, self.term)
+    }
+
+    /// Returns the fencing token of the commands that are sent to a machine now: the highest one of
+    /// this term that its worker has seen.
+    fn command_token(&self, machine_id: &str) -> u64 {
+        let machine = self.cluster.machines.get(machine_id);
+        machine.map_or(self.term, |machine| machine.fencing_token.max(self.term))
+    }
+
     /// Processes the heartbeats that other nodes relayed through the store.
     fn apply_relayed_heartbeats(&mut self, context: &mut LeaderContext) {
         for heartbeat in std::mem::take(&mut context.replica.relayed_heartbeats) {
-            if heartbeat.fencing_token > self.term {
-                self.deposed = true;
-                return;
+            if !self.observe_token(context, heartbeat.fencing_token) {
+                continue;
             }
             // Without this term's fencing token a heartbeat may be as old as the record that
             // relayed it, and shows only that the machine existed. It is still applied: after a
@@ -250,12 +270,8 @@
             LeaderCall::LoadRecords { .. } => self.load_records_done(context, result),
             LeaderCall::Commit { writes, size } => self.commit_done(context, writes, size, result),
             LeaderCall::ReadRevision { write } => self.read_revision_done(context, write, result),
-            LeaderCall::DirectCommand {
-                machine,
-                incarnation,
-                started_attempts,
-            } => {
-                self.direct_command_done(context, &machine, incarnation, started_attempts, result);
+            LeaderCall::DirectCommand(command) => {
+                self.direct_command_done(context, &command, result);
             }
             LeaderCall::Probe { machine } => self.probe_done(context, &machine, result),
             LeaderCall::Autoscaler(call) => {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod calls;
 pub mod cluster;
 pub mod context;
+mod fencing;
 pub mod leader;
 pub mod node;
 mod outbox;
--- a/crates/control/src/node/cancellation_watermark.rs
+++ b/crates/control/src/node/cancellation_watermark.rs
@@ -29,6 +29,8 @@
 /// The node's own watermark, and the watermarks of its peers, which advance it.
 pub(super) struct CancellationWatermark {
     watermark: Option<Millis>,
+    /// Since when this node has known a cancellation that its replica has not read in the store.
+    unread_since: Option<Millis>,
     peer_watermarks: Vec<Option<PeerWatermark>>,
 }
 
@@ -37,6 +39,7 @@
     pub(super) fn new(peers: usize) -> CancellationWatermark {
         CancellationWatermark {
             watermark: None,
+            unread_since: None,
             peer_watermarks: (0..peers).map(|_| None).collect(),
         }
     }
@@ -50,6 +53,19 @@
             .map(|watermark| if is_only_node { now } else { watermark })
     }
 
+    /// Records whether this node knows a cancellation that its replica has not read in the store.
+    pub(super) fn record_unread_cancellation(&mut self, has_unread: bool, now: Millis) {
+        match has_unread {
+            true => _ = self.unread_since.get_or_insert(now),
+            false => self.unread_since = None,
+        }
+    }
+
+    /// Returns since when this node has known a cancellation that its replica has not read.
+    pub(super) fn unread_since(&self) -> Option<Millis> {
+        self.unread_since
+    }
+
     /// Records that a read request sent at `sent_at` returned all changes.
     pub(super) fn record_read(&mut self, sent_at: Millis) {
         self.watermark = self.watermark.max(Some(sent_at));
--- a/crates/control/src/node/election.rs
+++ b/crates/control/src/node/election.rs
@@ -56,10 +56,15 @@
         Some((record, *term))
     }
 
-    /// Records a term seen in a message. If this node leads in a lower term, its leadership ends
-    /// with the next election step.
-    pub(super) fn observe_term(&mut self, term: u64) {
-        self.highest_observed_term = self.highest_observed_term.max(term);
+    /// Records a term or a fencing token seen in a message. While the replica has not read what it
+    /// belongs to, another node may lead, so this node does not act as the leader.
+    pub(super) fn observe_token(&mut self, token: u64) {
+        self.highest_observed_token = self.highest_observed_token.max(token);
+    }
+
+    /// Returns whether the replica has read which terms all observed tokens belong to.
+    pub(super) fn knows_observed_tokens(&self) -> bool {
+        self.replica.knows_term_of(self.highest_observed_token)
     }
 
     /// Changes the role. All role changes go through this function.
@@ -106,13 +111,10 @@
         self.revoke_next_lease();
     }
 
-    /// Ends this node's leadership if a higher term was seen in any message, the leader key changed
-    /// or the leader was deposed.
+    /// Ends this node's leadership if the leader key changed or the leader was deposed.
     fn step_down_if_superseded(&mut self) {
         let Some(leader) = &self.leader else { return };
-        let is_superseded = leader.deposed
-            || self.replica.term() != Some(leader.term)
-            || self.highest_observed_term > leader.term;
+        let is_superseded = leader.deposed || self.replica.term() != Some(leader.term);
         if !is_superseded {
             return;
         }
@@ -262,7 +264,7 @@
             return;
         };
         log::info!("leading in term {term}");
-        self.observe_term(term);
+        self.observe_token(term);
         self.leader = Some(Box::new(Leader::new(
             term,
             lease,
--- a/crates/control/src/node/feature_gate.rs
+++ b/crates/control/src/node/feature_gate.rs
@@ -117,6 +117,11 @@
         self.state == FeatureGateState::Open
     }
 
+    #[cfg(test)]
+    pub(super) fn open(&mut self) {
+        self.transition_to(FeatureGateState::Open);
+    }
+
     /// Changes the state. All state changes go through this function.
     fn transition_to(&mut self, next: FeatureGateState) {
         if next == FeatureGateState::Open {
@@ -208,6 +213,12 @@
         self.feature_gate.is_open()
     }
 
+    /// Returns whether every controller is known to run a version that takes a worker's raised
+    /// fencing token as one of the present term.
+    pub(super) fn may_raise_tokens(&self) -> bool {
+        self.feature_gate.is_open()
+    }
+
     /// Sends the next request that the gate needs, within the budget, once the replica is live.
     pub(super) fn advance_feature_gate(&mut self) {
         if !self.replica_sync.is_live() {
--- a/crates/control/src/node/frames.rs
+++ b/crates/control/src/node/frames.rs
@@ -36,7 +36,7 @@
     }
 
     fn handle_hello(&mut self, from: Link, hello: &Hello) {
-        self.observe_term(hello.term.get());
+        self.observe_token(hello.term.get());
         match from {
             Link::Outbound(peer) => self.handle_pong(peer, hello),
             Link::Inbound(_) => self.handle_ping(from, hello),
@@ -102,7 +102,7 @@
             term: self
                 .replica
                 .highest_term
-                .max(self.highest_observed_term)
+                .max(self.highest_observed_token)
                 .into(),
             process_nonce: self.incarnation.into(),
             ping_sent_at: ping_sent_at.into(),
@@ -134,7 +134,7 @@
         self.send_frame(from, reply);
     }
 
-    fn handle_cancellations(&mut self, cancellations: &[Cancellation]) {
+    pub(super) fn handle_cancellations(&mut self, cancellations: &[Cancellation]) {
         for cancellation in cancellations {
             let job = from_padded_text(&cancellation.job_id);
             let revision = cancellation.revision.get();
--- a/crates/control/src/node/heartbeats.rs
+++ b/crates/control/src/node/heartbeats.rs
@@ -3,9 +3,7 @@
 use super::isolation::IsolationState;
 use super::Node;
 use crate::api::{Action, Link, Millis};
-use stonegw_constants::{
-    ISOLATION_TIMEOUT_MS, RETRY_AFTER_STORE_FAILURE_S, WATERMARK_LAG_FRACTION,
-};
+use stonegw_constants::{ISOLATION_TIMEOUT_MS, RETRY_AFTER_STORE_FAILURE_S};
 use stonegw_wire::frame::Frame;
 use stonegw_wire::msg::{decode, CommandBatch, Heartbeat, Redirect};
 
@@ -31,7 +29,7 @@
                 None => self.reply_retry_later(request_id, "no lease to give"),
             };
         }
-        self.observe_term(heartbeat.fencing_token);
+        self.observe_token(heartbeat.fencing_token);
         let Some((leader, _)) = self.known_leader() else {
             return self.reply_retry_later(request_id, "no leader");
         };
@@ -56,10 +54,8 @@
         &mut self,
         heartbeat: Heartbeat,
     ) -> Option<CommandBatch> {
-        self.observe_term(heartbeat.fencing_token);
-        let term = self.leader.as_ref().map(|leader| leader.term)?;
-        if heartbeat.fencing_token > term {
-            self.advance_role();
+        self.observe_token(heartbeat.fencing_token);
+        if !self.knows_observed_tokens() {
             return None;
         }
         let mut commands = None;
@@ -125,29 +121,61 @@
         let isolation = self
             .isolation
             .record_isolated_heartbeat(&heartbeat.machine_id, now, peers);
-        let term = match &self.leader {
-            Some(leader) => leader.term,
-            None => self.replica.term().unwrap_or(0),
-        };
-        self.observe_term(heartbeat.fencing_token);
-        let may_renew = self.watermark_current() && term > 0 && self.highest_observed_term <= term;
-        if isolation == IsolationState::RenewingLeases && may_renew {
-            return self.renew_lease_without_leader(request_id, &heartbeat, term);
+        self.observe_token(heartbeat.fencing_token);
+        let token = self.renewal_token(&heartbeat);
+        let token = token.filter(|_| self.knows_observed_tokens());
+        if let (IsolationState::RenewingLeases, Some(token)) = (isolation, token) {
+            return self.renew_lease_without_leader(request_id, &heartbeat, token);
         }
         self.isolation.record_rejection(heartbeat.machine_id, now);
         self.reply_partitioned(request_id);
     }
 
+    /// Returns the fencing token with which this node may renew a worker's lease without the leader,
+    /// or `None` if it may not. With the token, the worker executes no command of the leader any
+    /// more that starts a task of a job whose cancellation this node has to know.
+    pub(super) fn renewal_token(&self, heartbeat: &Heartbeat) -> Option<u64> {
+        let may_renew = self.watermark_current() && self.is_raised_token_current();
+        if !may_renew {
+            return None;
+        }
+        let may_raise = self.may_raise_tokens();
+        self.replica
+            .renewal_token(heartbeat.fencing_token, may_raise)
+    }
+
+    /// Records whether this node knows a cancellation that its replica has not read: one that a peer
+    /// announced or that this node stored.
+    pub(super) fn track_unread_cancellations(&mut self) {
+        let has_unread = self.replica.has_unread_cancellation();
+        self.cancellation_watermark
+            .record_unread_cancellation(has_unread, self.now.monotonic_ms);
+    }
+
+    /// Returns whether the tokens to which this node raises those of workers cover every
+    /// cancellation that is older than the watermark may lag. They don't cover one that the replica
+    /// has not read.
+    fn is_raised_token_current(&self) -> bool {
+        let now = self.now.monotonic_ms;
+        let unread_since = self.cancellation_watermark.unread_since();
+        let unread_for_ms = unread_since.map_or(0, |since| now.saturating_sub(since));
+        unread_for_ms <= self.settings.max_watermark_lag_ms()
+    }
+
     /// Answers a heartbeat without the leader. The fencing token renews the worker's lease; tasks
     /// of cancelled jobs are stopped, and no task is started.
     pub(super) fn renew_lease_without_leader(
         &mut self,
         request_id: u64,
         heartbeat: &Heartbeat,
-        term: u64,
+        fencing_token: u64,
     ) {
+        if fencing_token > heartbeat.fencing_token {
+            let (machine_id, earlier) = (&heartbeat.machine_id, heartbeat.fencing_token);
+            log::debug!("machine {machine_id}: fencing token {earlier} -> {fencing_token}, without the leader");
+        }
         let commands = CommandBatch {
-            fencing_token: term,
+            fencing_token,
             incarnation: None,
             commands: self.replica.stop_commands(heartbeat),
         };
@@ -193,10 +221,8 @@
     /// recent enough to renew a lease: tasks cancelled after the watermark still end before the
     /// cancellation deadline if this renewal is the last.
     pub(super) fn watermark_current(&self) -> bool {
-        let margin_s =
-            (self.settings.cancellation_deadline_s - self.settings.worker_lease_s).max(0.0);
-        let max_lag_ms = (margin_s * WATERMARK_LAG_FRACTION * 1e3) as Millis;
-        self.has_synced_since_pause() && self.watermark_lag_ms() <= max_lag_ms
+        self.has_synced_since_pause()
+            && self.watermark_lag_ms() <= self.settings.max_watermark_lag_ms()
     }
 }
 
--- a/crates/control/src/node/heartbeats_tests.rs
+++ b/crates/control/src/node/heartbeats_tests.rs
@@ -1,7 +1,10 @@
 use super::*;
 use crate::api::{Event, Now};
 use crate::node::fixture_tests::{heartbeat, settings};
+use crate::records::{JobRecord, LeaderRecord};
+use crate::test_support::job_spec;
 use stonegw_constants::{HEARTBEAT_RELAY_TIMEOUT_MS, PROCESS_PAUSE_THRESHOLD_MS};
+use stonegw_wire::frame::{to_padded_text, Cancellation};
 
 fn node_with_a_peer() -> Node {
     let mut settings = settings(60.0, 8);
@@ -60,3 +63,84 @@
     assert!(actions.iter().any(is_rejection));
     assert!(node.pending_relays.is_empty() && node.store_relay.is_empty());
 }
+
+/// A start command of a job may be on its way to a worker whose lease this node renews without the
+/// leader. Once the job is cancelled, the reply must make the worker reject the command, but not
+/// while a node of an earlier version may take the token for a later leader's.
+#[test]
+fn leases_renewed_without_the_leader_fence_cancelled_jobs() {
+    const TERM: u64 = 10;
+    const CANCELLED_AT: u64 = 20;
+    for (gate_is_open, expected_token) in [(false, TERM), (true, CANCELLED_AT)] {
+        let mut node = node_with_a_peer();
+        tick(&mut node, 1_000);
+        node.cancellation_watermark.record_read(1_000);
+        let leader = LeaderRecord {
+            node: "node-1".into(),
+            nonce: 1,
+            lease: 1,
+        };
+        node.replica.record_own_election(leader, TERM);
+        let job = JobRecord::submitted(&job_spec("run-1", 1), 0);
+        node.replica.put_job("run-1", job.cancelled(), CANCELLED_AT);
+        node.replica.revision = CANCELLED_AT;
+        if gate_is_open {
+            node.feature_gate.open();
+        }
+        node.handle_heartbeat_via_store(7, heartbeat("host-1"), "node-1".into());
+        let reply = std::mem::take(&mut node.outbox.actions)
+            .into_iter()
+            .find_map(|action| match action {
+                Action::Reply {
+                    request_id: 7,
+                    status: 200,
+                    body,
+                    ..
+                } => decode::<CommandBatch>(&body).ok(),
+                _ => None,
+            });
+        let token = reply.map(|reply| reply.fencing_token);
+        assert_eq!(token, Some(expected_token), "gate open: {gate_is_open}");
+    }
+}
+
+/// A cancellation that a peer announced, but that this node can't read in the store, raises no
+/// token. The node must not keep a worker alive longer than the cancellation allows, although the
+/// answers of all peers keep its watermark current.
+#[test]
+fn leases_are_not_renewed_past_a_cancellation_that_raises_no_token() {
+    let mut node = node_with_a_peer();
+    let lag_ms = node.settings.max_watermark_lag_ms();
+    tick(&mut node, 1_000);
+    node.cancellation_watermark.record_read(1_000);
+    let leader = LeaderRecord {
+        node: "node-1".into(),
+        nonce: 1,
+        lease: 1,
+    };
+    node.replica.record_own_election(leader, 10);
+    node.replica.revision = 20;
+    let job = JobRecord::submitted(&job_spec("run-1", 1), 0);
+    node.replica.put_job("run-1", job, 15);
+    let announced_at = 1_000 + 2 * lag_ms;
+    let mut may_renew_at = |at: Millis| {
+        node.now.monotonic_ms = at;
+        node.cancellation_watermark
+            .record_peer_answer(0, 1, 900, 900);
+        node.cancellation_watermark.record_peer_answer(0, 1, at, at);
+        if at == announced_at {
+            let cancellation = Cancellation {
+                job_id: to_padded_text("run-1"),
+                revision: 25.into(),
+            };
+            node.handle_cancellations(&[cancellation]);
+        }
+        node.track_unread_cancellations();
+        assert!(node.watermark_current());
+        node.renewal_token(&heartbeat("host-1")).is_some()
+    };
+    assert!(may_renew_at(announced_at - 1));
+    assert!(may_renew_at(announced_at));
+    assert!(may_renew_at(announced_at + lag_ms));
+    assert!(!may_renew_at(announced_at + lag_ms + 1));
+}
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -100,9 +100,9 @@
     election: Election,
     /// The leader, if this node leads.
     pub leader: Option<Box<Leader>>,
-    /// The highest term seen in any message. It can be above the term of every leader key that this
+    /// The highest term or fencing token seen in any message. It can be above everything that this
     /// node has read.
-    pub highest_observed_term: u64,
+    pub highest_observed_token: u64,
 
     catalog: CatalogCache,
     store_availability: StoreAvailability,
@@ -151,7 +151,7 @@
             role: Role::Follower,
             election: Election::default(),
             leader: None,
-            highest_observed_term: 0,
+            highest_observed_token: 0,
             catalog: CatalogCache::new(),
             store_availability: StoreAvailability::default(),
             read_budget: TokenBucket::new(1.0, 1.0),
@@ -205,6 +205,7 @@
 
     /// Takes the actions that are due. Earlier steps have priority in the use of the budgets.
     fn advance(&mut self) {
+        self.track_unread_cancellations();
         self.advance_replica_sync();
         // This precedes the users' requests, which would use up a small budget.
         self.advance_feature_gate();
@@ -240,11 +241,12 @@
             return;
         };
         let now = self.now.monotonic_ms;
+        let knows_observed_tokens = self.knows_observed_tokens();
         let mut calls = vec![];
         let mut context = LeaderContext {
             may_resign: self.peers.are_all_unreachable(now) && self.election.may_resign(now),
-            watermark_current: self.watermark_current(),
-            leadership_confirmed: self.has_synced_since_pause(),
+            watermark_current: self.watermark_current() && knows_observed_tokens,
+            leadership_confirmed: self.has_synced_since_pause() && knows_observed_tokens,
             now: self.now,
             settings: &self.settings,
             replica: &mut self.replica,
@@ -258,6 +260,7 @@
         for (call_id, call) in calls {
             self.calls_in_flight.insert(call_id, NodeCall::Leader(call));
         }
+        self.observe_token(leader.highest_observed_token);
         self.leader = Some(leader);
     }
 }
--- a/crates/control/src/node/read_barriers.rs
+++ b/crates/control/src/node/read_barriers.rs
@@ -99,14 +99,20 @@
     }
 
     /// Returns whether the node needs a barrier for itself: to probe a store that does not respond,
-    /// to confirm the replica, or to synchronize after a pause. While requests are rejected and the
+    /// to confirm the replica, to synchronize after a pause, or to learn which term an observed token
+    /// belongs to. While requests are rejected and the
     /// watch may hang, only the probe shows that the store is available again.
     fn is_barrier_needed_by_node(&self) -> bool {
         let is_probe_due = self.store_availability.is_failing()
             && self
                 .read_barriers
                 .has_been_idle_for(STORE_PROBE_INTERVAL_MS, self.now.monotonic_ms);
-        is_probe_due || self.is_confirming_read_due() || !self.has_synced_since_pause()
+        let needs_unread_term =
+            !self.knows_observed_tokens() && !self.store_availability.is_failing();
+        is_probe_due
+            || self.is_confirming_read_due()
+            || !self.has_synced_since_pause()
+            || needs_unread_term
     }
 
     /// Returns whether it is time to send a read that confirms that the replica is up to date. The
--- a/crates/control/src/node/store_relay.rs
+++ b/crates/control/src/node/store_relay.rs
@@ -142,7 +142,7 @@
     /// Handles a heartbeat that can't be relayed over a link, from a worker that may be partitioned
     /// from the leader together with this node. A worker that is due to probe for the leader is
     /// redirected to it. For other workers, the lease is renewed under the leader's term, tasks of
-    /// cancelled jobs are stopped, and the heartbeat is relayed through the store.
+    /// cancelled jobs are stopped and can no longer be started by commands on their way, and the heartbeat is relayed through the store.
     pub(super) fn handle_heartbeat_via_store(
         &mut self,
         request_id: u64,
@@ -159,11 +159,10 @@
         }
         // Leases are renewed only while the replica is recent enough that tasks cancelled through
         // other nodes still end in time.
-        let term = self.replica.term().unwrap_or(0);
-        if !self.watermark_current() || heartbeat.fencing_token > term {
+        let Some(token) = self.renewal_token(&heartbeat) else {
             return self.reply_partitioned(request_id);
-        }
-        self.renew_lease_without_leader(request_id, &heartbeat, term);
+        };
+        self.renew_lease_without_leader(request_id, &heartbeat, token);
         self.store_relay.record(heartbeat);
     }
 
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -128,6 +128,14 @@
             .range((revision.saturating_add(1), String::new())..)
     }
 
+    /// Returns the revision of the newest cancellation that this node has read in the store, or 0.
+    pub(crate) fn newest_read_cancellation(&self) -> u64 {
+        let mut read = self
+            .cancellations
+            .range(..(self.revision.saturating_add(1), String::new()));
+        read.next_back().map_or(0, |(revision, _)| *revision)
+    }
+
     /// Returns stop commands for the tasks in a heartbeat that have not exited and whose jobs are
     /// cancelled.
     pub fn stop_commands(&self, heartbeat: &Heartbeat) -> Vec<Command> {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,9 +1,10 @@
 //! The settings in the form that the state machines use. The daemon reads and validates the files.
+use crate::api::Millis;
 use crate::resources::Resources;
 pub use crate::token_bucket::TokenBucket;
 use stonegw_constants::{
     ARRIVAL_RATE_FRACTION, HEADROOM_TASKS, IDLE_RETENTION_BOOTS, LEADER_LEASE_TTL_MS,
-    SCHEDULING_INTERVAL_MS, SLACK_FRACTION,
+    SCHEDULING_INTERVAL_MS, SLACK_FRACTION, WATERMARK_LAG_FRACTION,
 };
 
 /// A team's quotas and limits. A team without limits in the settings file is a guest: it is meant
@@ -147,6 +148,14 @@
         self.teams.iter().find(|team| team.name == name)
     }
 
+    /// Returns how far a node's cancellation watermark may lag while it renews leases, in ms: tasks
+    /// cancelled after the watermark still end before the cancellation deadline if a renewal is the
+    /// last.
+    pub fn max_watermark_lag_ms(&self) -> Millis {
+        let margin_s = (self.cancellation_deadline_s - self.worker_lease_s).max(0.0);
+        (margin_s * WATERMARK_LAG_FRACTION * 1e3) as Millis
+    }
+
     /// Returns the deadlines that the objectives of a class imply for tasks that run for `run_s`
     /// seconds. They are in seconds after the submission.
     pub fn slo_deadlines(&self, class: &str, run_s: f64) -> impl Iterator<Item = f64> + '_ {
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -79,7 +79,7 @@
 mutant nodes_restart_within_a_second expect "node/election.rs" 's/conditions: vec!\[Condition \{\s+key: LEADER_KEY\.into\(\),\s+revision: 0,\s+\}\],/conditions: vec![],/'
 mutant large_zone_partition expect "node/relay_transaction.rs" 's/if self\.record_bytes \+ bytes > max_record_bytes \{/if !self.record.is_empty() {/'
 mutant many_unreachable_machines expect "leader/machine_health.rs" 's/let unreachable_ms = if outages\.is_mass_unreachability\(now\) \{/let unreachable_ms = if false {/'
-mutant isolated_zone expect "node/heartbeats.rs" 's/if isolation == IsolationState::RenewingLeases && may_renew \{/if false \&\& isolation == IsolationState::RenewingLeases \&\& may_renew {/'
+mutant isolated_zone expect "node/heartbeats.rs" 's/Some\(token\)\) = \(isolation, token\)/Some(token)) = (isolation, token.filter(|_| false))/'
 mutant isolated_zone expect "leader/machine_health.rs" 's/self\.outages\.record_zone_partitions\(&counts, outage_until\)/self.outages.record_zone_partitions(\&counts, now + 1)/'
 mutant zone_partition_leader_crash expect "autoscaler/scale_in.rs" 's/let is_overdue = if machine\.listed_as_running \{/let is_overdue = if false {/'
 mutant invalid_requests bad_answer "node/feasibility.rs" 's/if !fits_a_type \{/if !fits_a_type \&\& false {/'
@@ -105,7 +105,7 @@
 mutant cancel_outage_confirmer_without_links ran_cancelled "node/cancellation_watermark.rs" 's/watermarks\.into_iter\(\)\.min\(\)/watermarks.into_iter().max()/; s/let known = known\.as_ref\(\)\?;\s+\(known\.first_answer_at <= watermark\)\.then_some\(known\.watermark\)/let known = known.as_ref().filter(|known| known.first_answer_at <= watermark);\n                Some(known.map_or(0, |known| known.watermark))/'
 mutant cancel_outage_confirmer_crash ran_cancelled "node/cancellation_watermark.rs" 's/\(known\.first_answer_at <= watermark\)/(known.first_answer_at <= Millis::MAX)/'
 mutant cancel_outage_leader_refused ran_cancelled "node/frames.rs" 's/in cancellations\.chunks\(MAX_FRAME_BODY_BYTES \/ size_of::<Cancellation>\(\)\)/in cancellations.chunks(MAX_FRAME_BODY_BYTES).take(0)/'
-mutant cancel_outage_stale_watch ran_cancelled "node/heartbeats.rs" 's/self\.watermark_lag_ms\(\) <= max_lag_ms/0 * self.watermark_lag_ms() <= max_lag_ms/; s/\.map_or\(Millis::MAX, \|watermark\|/.map_or(0, |watermark|/'
+mutant cancel_outage_stale_watch ran_cancelled "node/heartbeats.rs" 's/self\.watermark_lag_ms\(\) <= self/0 * self.watermark_lag_ms() <= self/; s/\.map_or\(Millis::MAX, \|watermark\|/.map_or(0, |watermark|/'
 mutant many_unreachable_machines expect "leader/outage_detector.rs leader/machine_health.rs" 's/(fn record_outage\(&mut self, counts: &HealthCounts), /$1, now: Millis, /; s/self\.mass_unreachable_until = until;/self.mass_unreachable_until = now + 1;/; s/record_outage\(&counts, outage_until\)/record_outage(\&counts, now, outage_until)/'
 mutant array_starved_by_replicas expect "autoscaler/demand.rs" 's/&& !eventual\.iter\(\)\.any\(/\&\& false \&\& !eventual.iter().any(/'
 mutant deferred_tasks_beside_free_machine waits_despite_capacity "scheduling/scheduler.rs" 's/Aging::new\(cluster, state\)\.place_deferred\(context\);//'
@@ -155,4 +155,14 @@
 unit_mutant control heartbeats_of_many_machines_fill_a_transaction node/store_relay.rs 's/\s+\.max\(settings\.max_transaction_writes \* RELAYED_HEARTBEAT_SLOTS_PER_WRITE\)//'
 unit_mutant control oversized_change_response_triggers_relist node/replica_sync.rs 's/(CallError::ResponseTooLarge\)\)\) => \{\s+ChangesOutcome::)RelistNeeded/$1Failed/'
 unit_mutant net status_queries_leave_capacity_for_submissions admission.rs 's/self\.limit \* usable_fraction/self.limit/'
+for trace in cancelled_start_held_in_zone_partition cancelled_gang_start_held_in_zone_partition cancelled_start_held_over_leader_change; do
+    mutant "$trace" ran_cancelled "fencing.rs" 's/true => self\.newest_read_cancellation\(\),/true => 0,/'
+done
+mutant cancelled_start_lost_in_zone_partition expect "fencing.rs" 's/true => self\.newest_read_cancellation\(\),/true => 0,/'
+unit_mutant control an_unread_token_blocks_renewals fencing.rs 's/token <= self\.revision && //'
+unit_mutant control a_cancellation_that_was_only_announced_raises_no_token replica.rs 's/\.range\(\.\.\(self\.revision\.saturating_add\(1\), String::new\(\)\)\)/.range(..)/'
+unit_mutant control leases_are_not_renewed_past_a_cancellation_that_raises_no_token node/heartbeats.rs 's/self\.watermark_current\(\) && self\.is_raised_token_current\(\)/self.watermark_current()/'
+unit_mutant control leases_renewed_without_the_leader_fence_cancelled_jobs node/heartbeats.rs 's/let may_raise = self\.may_raise_tokens\(\);/let may_raise = true;/'
+unit_mutant control a_token_that_was_not_read_gets_no_reply leader/mod.rs 's/token <= self\.term \|\| context\.replica\.is_token_of_term\(token, self\.term\)/true/'
+unit_mutant control replies_carry_the_raised_token_of_the_worker leader/mod.rs 's/machine\.fencing_token\.max\(self\.term\)/self.term/; s/\.max\(worker_token\)//'
 exit $failed
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -168,4 +168,8 @@
     gang_delayed_heartbeats,
     spot_machines,
     deadline_array_waits_for_memory,
+    cancelled_start_held_in_zone_partition,
+    cancelled_start_lost_in_zone_partition,
+    cancelled_start_held_over_leader_change,
+    cancelled_gang_start_held_in_zone_partition,
 );
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -41,7 +41,7 @@
 )]
 #[repr(C)]
 pub struct Hello {
-    /// The highest term that the sender knows.
+    /// The highest term or fencing token that the sender knows.
     pub term: U64,
     /// Random number that distinguishes this process from earlier processes of the same node.
     pub process_nonce: U64,
--- a/crates/wire/src/msg/worker.rs
+++ b/crates/wire/src/msg/worker.rs
@@ -151,8 +151,9 @@
 /// Commands to one worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CommandBatch {
-    /// Fencing token of the sending leader, which is its term. Workers reject a token that is lower
-    /// than the highest that they have received.
+    /// Fencing token: the sending leader's term, or a later revision of the key-value store before
+    /// the next leader's term. Workers reject a token that is lower than the highest that they have
+    /// received.
     #[serde(rename = "baton")]
     pub fencing_token: u64,
     /// Incarnation of the worker that the commands are for; set only in direct commands.
