Reject a cancelled job's late start by its token instead of starting the task

What callers saw: a task started for a moment, 70 s after its user was told that the job is cancelled, with cancel_s 54 (simulated): a zone's partition had lost the start, and when it ended the leader sent run and kill together to use up the attempt.

Cause: the leader can't tell a lost start from a late one, and used up the attempt by starting and stopping the task, however long ago the job had been cancelled.

Change: together with the stop, the leader raises the worker's token above that of the start. The worker rejects the start when it arrives, and its next heartbeat proves that the task never started. Where the token can't be raised (an earlier version beside this one, nothing newer read), run and kill are still sent together, but only while the task can still end within cancel_s.

--- a/crates/control/src/cluster/command_channel.rs
+++ b/crates/control/src/cluster/command_channel.rs
@@ -31,7 +31,7 @@
     pub next_probe_at: Millis,
     /// The number of heartbeats answered since the machine was last silent.
     pub answered_heartbeats: u32,
-    /// The id of the call that sends a direct command, while it has no result.
+    /// The fencing token of the direct commands that were sent last, while they have no result.
     pub call_in_flight: Option<u64>,
     /// The fencing token of the last direct start commands to the present incarnation that failed
     /// without a proof that they were not sent, so that they may still arrive. `None` once the
@@ -54,7 +54,12 @@
 impl CommandChannel {
     /// Returns `true` if a direct command may still arrive at the worker.
     pub fn may_deliver_late(&self) -> bool {
-        self.call_in_flight.is_some() || self.unanswered_start.is_some()
+        self.late_token().is_some()
+    }
+
+    /// Returns the highest fencing token of the direct commands that may still arrive at the worker.
+    pub fn late_token(&self) -> Option<u64> {
+        self.call_in_flight.max(self.unanswered_start)
     }
 
     /// Records that direct start commands with this fencing token may still arrive.
--- a/crates/control/src/cluster/machine.rs
+++ b/crates/control/src/cluster/machine.rs
@@ -61,7 +61,9 @@
     /// carries a fencing token of this term.
     pub under_current_term: bool,
     /// The highest fencing token that the worker has shown in a heartbeat.
-    pub fencing_token: u64,
+    pub shown_token: u64,
+    /// The highest fencing token that this leader has sent to the worker.
+    pub sent_token: u64,
     /// The state of the delivery of commands to the worker.
     pub commands: CommandChannel,
     /// When this leader first learned of the machine.
@@ -119,7 +121,8 @@
             last_heartbeat_at: None,
             via_store: false,
             under_current_term: false,
-            fencing_token: 0,
+            shown_token: 0,
+            sent_token: 0,
             commands: CommandChannel::default(),
             known_since: now,
             provisioned_at: now,
@@ -207,6 +210,11 @@
         format!("{} {market} {usage}", self.machine_type)
     }
 
+    /// Returns `true` if a task is to be stopped whose start command may still arrive.
+    pub(crate) fn has_unwanted_start(&self) -> bool {
+        self.commands.may_deliver_late() && self.placements.iter().any(Placement::is_unwanted_start)
+    }
+
     /// Returns `true` if no task may be running on the machine and none is queued for it.
     pub fn is_idle(&self) -> bool {
         self.queued.is_empty() && !self.placements.iter().any(Placement::is_present)
--- a/crates/control/src/cluster/machine_heartbeat.rs
+++ b/crates/control/src/cluster/machine_heartbeat.rs
@@ -92,7 +92,7 @@
     fn copy_reported_state(&mut self, heartbeat: &Heartbeat, now: Millis) {
         self.incarnation = heartbeat.incarnation;
         self.sequence = heartbeat.sequence;
-        self.fencing_token = self.fencing_token.max(heartbeat.fencing_token);
+        self.shown_token = self.shown_token.max(heartbeat.fencing_token);
         self.commands.record_seen_token(heartbeat.fencing_token);
         self.last_heartbeat_at = Some(now);
         self.absent_listings = 0;
--- a/crates/control/src/cluster/placement.rs
+++ b/crates/control/src/cluster/placement.rs
@@ -73,6 +73,8 @@
     pub inherited: bool,
     /// The grace period for a last checkpoint in seconds, if the task is to be stopped.
     pub stop_grace_s: Option<f64>,
+    /// When this leader learned that the job is cancelled.
+    pub cancelled_at: Option<Millis>,
     /// When the last stop command was sent, so that it is not repeated too often.
     pub last_stop_sent_at: Millis,
     /// The machine's highest heartbeat sequence number when a start command was last sent in the
@@ -108,6 +110,7 @@
             team: String::new(),
             inherited: false,
             stop_grace_s: None,
+            cancelled_at: None,
             last_stop_sent_at: 0,
             sent_sequence: 0,
             running_at: None,
@@ -160,6 +163,12 @@
         )
     }
 
+    /// Returns `true` if this leader has sent a start command, no heartbeat has reported the task
+    /// since, and the task is to be stopped.
+    pub(super) fn is_unwanted_start(&self) -> bool {
+        self.phase == Phase::Sent && self.stop_grace_s.is_some() && !self.inherited
+    }
+
     /// Sets the phase and logs a change at trace level.
     pub fn set_phase(&mut self, to: Phase) {
         if self.phase != to {
--- a/crates/control/src/context.rs
+++ b/crates/control/src/context.rs
@@ -26,6 +26,10 @@
     /// last process pause, and has read up to every fencing token that it has seen. Until then
     /// another node may lead, so no commands and writes may be sent.
     pub leadership_confirmed: bool,
+    /// The fencing token to which the leader may raise that of a worker: the revision up to which
+    /// the replica has read. `None` if it may not, because another controller may run a version that
+    /// takes a raised token for a later term.
+    pub raised_token: Option<u64>,
     /// The node's copy of the replicated records.
     pub replica: &'a mut Replica,
     /// Rate limiter of all requests to the key-value store, including writes.
--- a/crates/control/src/leader/commands.rs
+++ b/crates/control/src/leader/commands.rs
@@ -3,8 +3,11 @@
 use crate::api::Millis;
 use crate::cluster::{Lifecycle, Phase, Placement};
 use crate::context::LeaderContext;
-use stonegw_constants::{DUPLICATE_COMMAND_LIFETIME_MS, STOP_RESEND_INTERVAL_MS};
-use stonegw_wire::msg::{Command, ExitCause};
+use crate::settings::Settings;
+use stonegw_constants::{
+    DUPLICATE_COMMAND_LIFETIME_MS, STOP_RESEND_INTERVAL_MS, WORKER_ATTEMPT_TIMEOUT_MS,
+};
+use stonegw_wire::msg::{Command, CommandBatch, ExitCause};
 
 /// The way in which commands reach a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,8 +24,13 @@
     path: CommandPath,
     /// The sequence number of the machine's newest heartbeat.
     sequence: u64,
-    /// Whether an earlier direct command may still arrive.
-    may_deliver_late: bool,
+    /// The fencing token of the commands.
+    fencing_token: u64,
+    /// The highest fencing token of the direct commands that may still arrive, if any may.
+    late_token: Option<u64>,
+    /// The time after a cancellation until which a start command may be sent together with a stop
+    /// command, in ms.
+    max_start_delay_ms: Millis,
     /// Whether tasks may be started on the machine.
     may_start: bool,
 }
@@ -34,25 +42,60 @@
         context: &LeaderContext,
         machine_id: &str,
         path: CommandPath,
-    ) -> Vec<Command> {
+    ) -> CommandBatch {
+        let fencing_token = self.command_token(context, machine_id);
+        let mut batch = CommandBatch {
+            fencing_token,
+            incarnation: None,
+            commands: vec![],
+        };
         let Some(mut machine) = self.cluster.machines.edit(machine_id) else {
-            return vec![];
+            return batch;
         };
+        batch.incarnation = (path == CommandPath::Direct).then_some(machine.incarnation);
         let collector = CommandCollector {
             now: context.now.monotonic_ms,
             path,
             sequence: machine.sequence,
-            may_deliver_late: machine.commands.may_deliver_late(),
+            fencing_token,
+            late_token: machine.commands.late_token(),
+            max_start_delay_ms: max_start_delay_ms(context.settings),
             may_start: machine.lifecycle != Lifecycle::Terminating && context.watermark_current,
         };
-        let mut commands = vec![];
         for placement in &mut machine.placements {
-            collector.add_commands(placement, &mut commands);
+            collector.add_commands(placement, &mut batch.commands);
+        }
+        batch
+    }
+
+    /// Returns the fencing token of the commands that are sent to a machine now: the highest one of
+    /// this term that its worker has seen, or a higher one if a start command that may still arrive
+    /// is to be rejected.
+    pub(super) fn command_token(&mut self, context: &LeaderContext, machine_id: &str) -> u64 {
+        let Some(machine) = self.cluster.machines.get(machine_id) else {
+            return self.term;
+        };
+        let token = self.term.max(machine.shown_token).max(machine.sent_token);
+        let raised = context.raised_token.filter(|raised| *raised > token);
+        let Some(raised) = raised.filter(|_| machine.has_unwanted_start()) else {
+            return token;
+        };
+        log::debug!("machine {machine_id}: fencing token {token} -> {raised}, to reject a start");
+        if let Some(mut machine) = self.cluster.machines.edit(machine_id) {
+            machine.sent_token = raised;
         }
-        commands
+        raised
     }
 }
 
+/// Returns for how long after this leader learned of a cancellation it may still send a start
+/// command together with a stop command: the task is on its machine for a moment, which must end
+/// before the cancellation deadline.
+fn max_start_delay_ms(settings: &Settings) -> Millis {
+    let deadline_ms = (settings.cancellation_deadline_s * 1e3) as Millis;
+    deadline_ms.saturating_sub(settings.max_watermark_lag_ms() + WORKER_ATTEMPT_TIMEOUT_MS)
+}
+
 impl CommandCollector {
     fn add_commands(&self, placement: &mut Placement, commands: &mut Vec<Command>) {
         match placement.phase {
@@ -97,17 +140,29 @@
         Some(start_command(placement))
     }
 
-    /// Adds the stop command of a task whose start was sent but that no heartbeat has reported. If
-    /// an earlier start command may still arrive, the start command is sent once more before the
-    /// stop command, so that the late command finds its attempt already used at the worker.
+    /// Adds the stop command of a task whose start was sent but that no heartbeat has reported. The
+    /// worker rejects a start command that arrives later, because this one carries a higher fencing
+    /// token. If the token can't be raised, the start command is sent once more before the stop
+    /// command, so that the late command finds its attempt already used at the worker.
     fn stop_sent(&self, placement: &mut Placement, grace_s: f64, commands: &mut Vec<Command>) {
-        if self.may_deliver_late && !placement.inherited {
+        let may_arrive = self
+            .late_token
+            .is_some_and(|late_token| late_token >= self.fencing_token);
+        if may_arrive && !placement.inherited && self.may_start_to_stop(placement) {
             commands.push(start_command(placement));
             placement.sent_sequence = self.sequence;
         }
         commands.push(stop_command(placement, grace_s));
     }
 
+    /// Returns whether a task that is stopped at once may be started: the cancellation deadline of
+    /// its job is not near.
+    fn may_start_to_stop(&self, placement: &Placement) -> bool {
+        placement
+            .cancelled_at
+            .is_none_or(|cancelled_at| self.now < cancelled_at + self.max_start_delay_ms)
+    }
+
     fn stop_running(&self, placement: &mut Placement) -> Option<Command> {
         let grace_s = placement.stop_grace_s?;
         let resend_at = placement.last_stop_sent_at + STOP_RESEND_INTERVAL_MS;
@@ -122,7 +177,7 @@
     /// while a direct start command may still arrive: that command would start the task again.
     fn forget(&self, placement: &mut Placement, cause: ExitCause) -> Option<Command> {
         if self.path == CommandPath::Direct
-            || self.may_deliver_late
+            || self.late_token.is_some()
             || !may_forget(self.now, placement, cause)
         {
             return None;
--- a/crates/control/src/leader/direct_commands.rs
+++ b/crates/control/src/leader/direct_commands.rs
@@ -21,8 +21,8 @@
             .map(|machine| machine.id.clone())
             .collect();
         for machine_id in machine_ids {
-            let commands = self.collect_commands(context, &machine_id, CommandPath::Direct);
-            self.send_direct_command(context, &machine_id, commands);
+            let batch = self.collect_commands(context, &machine_id, CommandPath::Direct);
+            self.send_direct_command(context, &machine_id, batch);
         }
     }
 
@@ -30,31 +30,25 @@
         &mut self,
         context: &mut LeaderContext,
         machine_id: &str,
-        commands: Vec<Command>,
+        batch: CommandBatch,
     ) {
-        let fencing_token = self.command_token(machine_id);
         let Some(mut machine) = self.cluster.machines.edit(machine_id) else {
             return;
         };
-        if commands.is_empty() {
+        if batch.commands.is_empty() {
             return;
         }
         let call = LeaderCall::DirectCommand(DirectCommand {
             machine: machine_id.to_owned(),
             incarnation: machine.incarnation,
-            fencing_token,
-            started_attempts: started_attempts(&commands),
+            fencing_token: batch.fencing_token,
+            started_attempts: started_attempts(&batch.commands),
         });
-        let batch = CommandBatch {
-            fencing_token,
-            incarnation: Some(machine.incarnation),
-            commands,
-        };
         let target = Target::Worker(machine.addr.clone().unwrap_or_default());
         let (path, body) = ("/do".into(), encode(&batch));
         let timeout_ms = DIRECT_COMMAND_TIMEOUT_MS;
-        let call_id = context.send_call(call, target, "POST", path, body, timeout_ms);
-        machine.commands.call_in_flight = Some(call_id);
+        context.send_call(call, target, "POST", path, body, timeout_ms);
+        machine.commands.call_in_flight = Some(batch.fencing_token);
     }
 
     /// Processes the result of a direct command.
@@ -95,7 +89,7 @@
         // The command may still arrive, minutes late, as long as this incarnation of the worker
         // lasts and its worker has not seen a higher fencing token.
         if machine.incarnation == command.incarnation
-            && machine.fencing_token <= command.fencing_token
+            && machine.shown_token <= command.fencing_token
             && !command.started_attempts.is_empty()
         {
             machine
--- a/crates/control/src/leader/fixture_tests.rs
+++ b/crates/control/src/leader/fixture_tests.rs
@@ -136,6 +136,8 @@
     read_budget: TokenBucket,
     write_budget: TokenBucket,
     outbox: Outbox,
+    /// The token to which the leader may raise those of workers.
+    pub raised_token: Option<u64>,
 }
 
 pub fn machine_id(number: usize) -> String {
@@ -155,6 +157,7 @@
             settings: &$fixture.settings,
             may_resign: false,
             watermark_current: $confirmed,
+            raised_token: $fixture.raised_token,
             replica: &mut $fixture.replica,
             read_budget: &mut $fixture.read_budget,
             write_budget: &mut $fixture.write_budget,
@@ -194,6 +197,7 @@
                 actions: vec![],
                 last_call_id: 0,
             },
+            raised_token: None,
         }
     }
 
--- a/crates/control/src/leader/heartbeats.rs
+++ b/crates/control/src/leader/heartbeats.rs
@@ -3,7 +3,7 @@
 use super::{Leader, Stage};
 use crate::cluster::{HeartbeatKind, HeartbeatReceipt, Machine, TerminationEvidence};
 use crate::context::LeaderContext;
-use stonegw_wire::msg::{decode, Command, CommandBatch, Heartbeat};
+use stonegw_wire::msg::{decode, CommandBatch, Heartbeat};
 
 impl Leader {
     /// Processes a worker's heartbeat and returns the reply, which renews the worker's lease.
@@ -29,28 +29,33 @@
         }
         let machine_id = heartbeat.machine_id.clone();
         let worker_token = heartbeat.fencing_token;
-        let commands = if self.stage == Stage::Loading {
+        if self.stage == Stage::Loading {
             // Loading depends on the store, but tasks of cancelled jobs are stopped without waiting
             // for the store.
-            context.replica.stop_commands(&heartbeat)
-        } else {
-            self.commands_for_heartbeat(context, heartbeat)
-        };
-        Some(CommandBatch {
-            fencing_token: self.command_token(&machine_id).max(worker_token),
+            return Some(CommandBatch {
+                fencing_token: self.term.max(worker_token),
+                incarnation: None,
+                commands: context.replica.stop_commands(&heartbeat),
+            });
+        }
+        let commands = self.commands_for_heartbeat(context, heartbeat);
+        Some(commands.unwrap_or_else(|| CommandBatch {
+            fencing_token: self.command_token(context, &machine_id).max(worker_token),
             incarnation: None,
-            commands,
-        })
+            commands: vec![],
+        }))
     }
 
+    /// Applies a heartbeat and returns the commands that are due, or `None` if it is not newer than
+    /// the last one.
     fn commands_for_heartbeat(
         &mut self,
         context: &mut LeaderContext,
         heartbeat: Heartbeat,
-    ) -> Vec<Command> {
+    ) -> Option<CommandBatch> {
         let machine_id = heartbeat.machine_id.clone();
         if !self.apply_heartbeat(context, heartbeat, HeartbeatKind::Answered) {
-            return vec![];
+            return None;
         }
         if let Some(mut machine) = self.cluster.machines.edit(&machine_id) {
             machine.via_store = false;
@@ -60,7 +65,7 @@
             self.scheduler
                 .dispatch_queued(&mut self.cluster, context, &machine_id);
         }
-        self.collect_commands(context, &machine_id, CommandPath::HeartbeatReply)
+        Some(self.collect_commands(context, &machine_id, CommandPath::HeartbeatReply))
     }
 
     /// Applies a heartbeat to the cluster state. Returns `false` if it is no newer than the last
--- a/crates/control/src/leader/heartbeats_tests.rs
+++ b/crates/control/src/leader/heartbeats_tests.rs
@@ -1,8 +1,12 @@
+use crate::api::Millis;
+use crate::cluster::{Phase, Placement};
 use crate::leader::fixture_tests::{machine_id, FakeStore, LeaderFixture};
-use stonegw_wire::msg::Heartbeat;
+use crate::leader::Leader;
+use stonegw_wire::msg::{Command, Heartbeat};
 
 const TERM: u64 = 5;
 const RAISED_TOKEN: u64 = 12;
+const ATTEMPT: u64 = 5_000_001;
 
 fn heartbeat(sequence: u64, fencing_token: u64) -> Heartbeat {
     Heartbeat {
@@ -55,3 +59,68 @@
     let later = heartbeat(2, RAISED_TOKEN + 1);
     assert_eq!(fixture.deliver_heartbeat(&mut leader, later), None);
 }
+
+/// A leader whose direct start command of a task had no answer; the job was cancelled `age_ms` ago.
+fn leader_with_unanswered_start(fixture: &mut LeaderFixture, age_ms: Millis) -> Leader {
+    let mut leader = fixture.start_leader(TERM);
+    fixture.read_leader_key(TERM, RAISED_TOKEN);
+    fixture.now_ms += age_ms;
+    fixture.deliver_heartbeat(&mut leader, heartbeat(1, TERM));
+    if let Some(mut machine) = leader.cluster.machines.edit(&machine_id(0)) {
+        machine.commands.record_unanswered_start(TERM);
+        machine.placements.push(Placement {
+            sent_directly: true,
+            stop_grace_s: Some(0.0),
+            cancelled_at: Some(fixture.now_ms - age_ms),
+            ..Placement::new("run-1", 0, ATTEMPT, Phase::Sent)
+        });
+    }
+    leader
+}
+
+fn placement_count(leader: &Leader) -> usize {
+    let machine = leader.cluster.machines.get(&machine_id(0));
+    machine.map_or(0, |machine| machine.placements.len())
+}
+
+/// A start command that may still arrive must be rejected by its worker, without a start of the
+/// cancelled task. Once the worker shows the raised token, its report proves that the task never
+/// started.
+#[test]
+fn an_unwanted_start_is_rejected_by_a_raised_token() {
+    let mut fixture = LeaderFixture::new(FakeStore::default(), 8 * 1024, 8);
+    let mut leader = leader_with_unanswered_start(&mut fixture, 0);
+    fixture.raised_token = Some(RAISED_TOKEN);
+    let reply = fixture.deliver_heartbeat(&mut leader, heartbeat(2, TERM));
+    let reply = reply.expect("the heartbeat is answered");
+    assert_eq!(reply.fencing_token, RAISED_TOKEN);
+    assert!(matches!(reply.commands[..], [Command::Stop { .. }]));
+    // The reply was lost: the start may still arrive.
+    let reply = fixture.deliver_heartbeat(&mut leader, heartbeat(3, TERM));
+    assert_eq!(
+        reply.map(|reply| reply.fencing_token),
+        Some(RAISED_TOKEN),
+        "no later command may carry a lower token"
+    );
+    assert_eq!(placement_count(&leader), 1);
+    fixture.deliver_heartbeat(&mut leader, heartbeat(4, RAISED_TOKEN));
+    assert_eq!(placement_count(&leader), 0);
+}
+
+/// While tokens can't be raised, the attempt is used up by a start and a stop together, but not
+/// when the task would be on its machine beyond the deadline of its cancellation.
+#[test]
+fn a_task_cancelled_long_ago_is_not_started_to_be_stopped() {
+    let fixture = LeaderFixture::new(FakeStore::default(), 8 * 1024, 8);
+    let deadline_ms = (fixture.settings.cancellation_deadline_s * 1e3) as Millis;
+    for (age_ms, starts) in [(0, 1), (deadline_ms / 4, 1), (deadline_ms, 0)] {
+        let mut fixture = LeaderFixture::new(FakeStore::default(), 8 * 1024, 8);
+        let mut leader = leader_with_unanswered_start(&mut fixture, age_ms);
+        let reply = fixture.deliver_heartbeat(&mut leader, heartbeat(2, TERM));
+        let commands = reply.expect("the heartbeat is answered").commands;
+        let is_start = |command: &&Command| matches!(command, Command::Start { .. });
+        assert_eq!(commands.iter().filter(is_start).count(), starts, "{age_ms}");
+        assert!(matches!(commands.last(), Some(Command::Stop { .. })));
+        assert_eq!(placement_count(&leader), 1);
+    }
+}
--- a/crates/control/src/leader/jobs.rs
+++ b/crates/control/src/leader/jobs.rs
@@ -94,6 +94,7 @@
     /// Removes a job that has ended and schedules its result records for deletion. The tasks of a
     /// cancelled job are stopped.
     pub(super) fn end_job(&mut self, job_id: &str, end: JobEnd) {
+        let now = self.cluster.now_ms;
         if let Some(job) = self.cluster.jobs.remove(job_id) {
             for (number, chunk) in job.result_chunks {
                 let key = result_chunk_key(job_id, number);
@@ -115,6 +116,7 @@
                     placement.mark_outcome_stored();
                 } else if end == JobEnd::Cancelled {
                     placement.stop_grace_s = Some(0.0);
+                    placement.cancelled_at.get_or_insert(now);
                 }
             }
         }
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -236,13 +236,6 @@
         token <= self.term || context.replica.is_token_of_term(token, self.term)
     }
 
-    /// Returns the fencing token of the commands that are sent to a machine now: the highest one of
-    /// this term that its worker has seen.
-    fn command_token(&self, machine_id: &str) -> u64 {
-        let machine = self.cluster.machines.get(machine_id);
-        machine.map_or(self.term, |machine| machine.fencing_token.max(self.term))
-    }
-
     /// Processes the heartbeats that other nodes relayed through the store.
     fn apply_relayed_heartbeats(&mut self, context: &mut LeaderContext) {
         for heartbeat in std::mem::take(&mut context.replica.relayed_heartbeats) {
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -242,11 +242,13 @@
         };
         let now = self.now.monotonic_ms;
         let knows_observed_tokens = self.knows_observed_tokens();
+        let may_raise = self.may_raise_tokens() && self.replica.term() == Some(leader.term);
         let mut calls = vec![];
         let mut context = LeaderContext {
             may_resign: self.peers.are_all_unreachable(now) && self.election.may_resign(now),
             watermark_current: self.watermark_current() && knows_observed_tokens,
             leadership_confirmed: self.has_synced_since_pause() && knows_observed_tokens,
+            raised_token: may_raise.then_some(self.replica.revision),
             now: self.now,
             settings: &self.settings,
             replica: &mut self.replica,
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -62,8 +62,8 @@
 }
 mutant start_waits_for_stored_placement ran_twice "cluster/task_placement.rs" 's/Placement::new\(job_id, index, attempt, Phase::Unstored\)/Placement::new(job_id, index, attempt, Phase::Startable)/'
 mutant heartbeat_of_old_incarnation ran_twice "cluster/machine_removal.rs" 's/if placement\.is_unsent\(\) \|\| placement\.inherited && !includes_inherited/let _ = includes_inherited;\n                if placement.is_unsent()/'
-mutant delayed_direct_command ran_twice "leader/commands.rs" 's/\n\s+\|\| self\.may_deliver_late\n\s+\|\| !may_forget\(self\.now, placement, cause\)//'
-mutant cancel_races_start ran_cancelled "leader/commands.rs leader/reconciliation.rs" 's/if self\.may_deliver_late && !placement\.inherited \{/if false {/; s/\n\s+\|\| self\.may_deliver_late\n\s+\|\| !may_forget\(self\.now, placement, cause\)//; s/placement\.stop_grace_s\.is_some\(\) && no_start_in_flight/placement.stop_grace_s.is_some() \&\& self.is_answered \&\& self.follows_start(placement)/'
+mutant delayed_direct_command ran_twice "leader/commands.rs" 's/\n\s+\|\| self\.late_token\.is_some\(\)\n\s+\|\| !may_forget\(self\.now, placement, cause\)//'
+mutant cancel_races_start ran_cancelled "leader/commands.rs leader/reconciliation.rs" 's/filter\(\|_\| machine\.has_unwanted_start\(\)\)/filter(|_| false)/; s/if may_arrive && !placement\.inherited && self\.may_start_to_stop\(placement\) \{/if false {/; s/\n\s+\|\| self\.late_token\.is_some\(\)\n\s+\|\| !may_forget\(self\.now, placement, cause\)//; s/placement\.stop_grace_s\.is_some\(\) && no_start_in_flight/placement.stop_grace_s.is_some() \&\& self.is_answered \&\& self.follows_start(placement)/'
 mutant stale_node went_back "node/user_requests.rs" 's/if self\.replica\.end_of\(request\.job_id\(\)\)\.is_some\(\) \{/if self.replica.end_of(request.job_id()).is_some()\n            || !matches!(request, UserRequest::Submit(_)) \&\& self.replica.jobs.contains_key(request.job_id())\n        {/'
 mutant team_limit quota cluster/usage_totals.rs 's/is_present: placement\.is_present\(\),/is_present: placement.is_present() \&\& machine.last_heartbeat_at.is_some(),/'
 mutant leader_crash_while_tasks_run ran_twice "leader/load.rs" 's/for task in &row\.tasks \{/for task in row.tasks.iter().take(0) {/'
@@ -164,5 +164,8 @@
 unit_mutant control leases_are_not_renewed_past_a_cancellation_that_raises_no_token node/heartbeats.rs 's/self\.watermark_current\(\) && self\.is_raised_token_current\(\)/self.watermark_current()/'
 unit_mutant control leases_renewed_without_the_leader_fence_cancelled_jobs node/heartbeats.rs 's/let may_raise = self\.may_raise_tokens\(\);/let may_raise = true;/'
 unit_mutant control a_token_that_was_not_read_gets_no_reply leader/mod.rs 's/token <= self\.term \|\| context\.replica\.is_token_of_term\(token, self\.term\)/true/'
-unit_mutant control replies_carry_the_raised_token_of_the_worker leader/mod.rs 's/machine\.fencing_token\.max\(self\.term\)/self.term/; s/\.max\(worker_token\)//'
+unit_mutant control replies_carry_the_raised_token_of_the_worker leader/commands.rs 's/self\.term\.max\(machine\.shown_token\)\.max\(machine\.sent_token\)/self.term/'
+mutant cancelled_start_is_rejected expect "leader/commands.rs" 's/filter\(\|_\| machine\.has_unwanted_start\(\)\)/filter(|_| false)/'
+unit_mutant control an_unwanted_start_is_rejected leader/commands.rs 's/\.max\(machine\.sent_token\)//'
+unit_mutant control a_task_cancelled_long_ago leader/commands.rs 's/ && self\.may_start_to_stop\(placement\)//'
 exit $failed
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -170,6 +170,7 @@
     deadline_array_waits_for_memory,
     cancelled_start_held_in_zone_partition,
     cancelled_start_lost_in_zone_partition,
+    cancelled_start_is_rejected,
     cancelled_start_held_over_leader_change,
     cancelled_gang_start_held_in_zone_partition,
 );
