Reject late copies of answered starts at a worker that restarted without memory

What callers saw, on a service like this one: a machine was back within a second, a late copy of a start command that had been carried out and answered reached it once more, and a task ran on two machines at once, or a cancelled task ran again. Simulated here: both happen if the worker begins again with the first incarnation and no token.

Cause: the copy is rejected by its used-up attempt, by the incarnation or by the token. The restart loses the first, repeats the second and forgets the third; the leader's reply then gave the worker the token that the copy carries as well. The worker's heartbeats were dropped as late copies, so its machine was deleted as silent.

Change: the reply to a heartbeat that shows an earlier token than those before, or that is old while the machine is silent, raises the worker's token above that of every command sent so far. Heartbeats are ordered by token, incarnation and sequence, so the next one proves the restart, unless a start with its token may be under way. A node that serves workers without the leader gives those without a token the newest one, and sends none of them to look for the leader.

--- a/crates/control/src/cluster/command_channel.rs
+++ b/crates/control/src/cluster/command_channel.rs
@@ -33,6 +33,8 @@
     pub answered_heartbeats: u32,
     /// The fencing token of the direct commands that were sent last, while they have no result.
     pub call_in_flight: Option<u64>,
+    /// The highest fencing token of the direct start commands that were sent so far; 0 if none was.
+    start_token: u64,
     /// The fencing token of the last direct start commands to the present incarnation that failed
     /// without a proof that they were not sent, so that they may still arrive. `None` once the
     /// worker has seen a higher token, with which it rejects them.
@@ -46,6 +48,7 @@
             next_probe_at: 0,
             answered_heartbeats: 0,
             call_in_flight: None,
+            start_token: 0,
             unanswered_start: None,
         }
     }
@@ -62,6 +65,16 @@
         self.call_in_flight.max(self.unanswered_start)
     }
 
+    /// Records that direct start commands are sent with this fencing token.
+    pub fn record_start_sent(&mut self, fencing_token: u64) {
+        self.start_token = self.start_token.max(fencing_token);
+    }
+
+    /// Returns the highest fencing token of the direct start commands that were sent so far, or 0.
+    pub fn start_token(&self) -> u64 {
+        self.start_token
+    }
+
     /// Records that direct start commands with this fencing token may still arrive.
     pub fn record_unanswered_start(&mut self, fencing_token: u64) {
         self.unanswered_start = self.unanswered_start.max(Some(fencing_token));
--- a/crates/control/src/cluster/machine.rs
+++ b/crates/control/src/cluster/machine.rs
@@ -5,6 +5,7 @@
 use super::usage_totals::AccountedUsage;
 use super::{Phase, Placement, TaskKey};
 use crate::api::Millis;
+use crate::fencing::HeartbeatPosition;
 use crate::pause::Pause;
 use crate::resources::Resources;
 use std::collections::{BTreeSet, VecDeque};
@@ -66,6 +67,10 @@
     pub sent_token: u64,
     /// The state of the delivery of commands to the worker.
     pub commands: CommandChannel,
+    /// Whether the worker may have restarted without memory: a heartbeat was not newer than those
+    /// before, and showed an earlier token or came after a silence. It may also be a late copy. The
+    /// worker's token is raised until a heartbeat is newer again, and no direct commands are sent.
+    pub restart_suspected: bool,
     /// When this leader first learned of the machine.
     pub known_since: Millis,
     /// When the machine was provisioned, as far as this leader knows.
@@ -124,6 +129,7 @@
             shown_token: 0,
             sent_token: 0,
             commands: CommandChannel::default(),
+            restart_suspected: false,
             known_since: now,
             provisioned_at: now,
             was_listed: false,
@@ -210,9 +216,18 @@
         format!("{} {market} {usage}", self.machine_type)
     }
 
-    /// Returns `true` if a task is to be stopped whose start command may still arrive.
-    pub(crate) fn has_unwanted_start(&self) -> bool {
-        self.commands.may_deliver_late() && self.placements.iter().any(Placement::is_unwanted_start)
+    /// Returns `true` if the worker must reject commands that were sent earlier: a task is to be
+    /// stopped whose start command may still arrive, or the worker may have forgotten the attempts
+    /// that it has used up.
+    pub(crate) fn needs_raised_token(&self) -> bool {
+        let mut placements = self.placements.iter();
+        self.restart_suspected
+            || (self.commands.may_deliver_late() && placements.any(Placement::is_unwanted_start))
+    }
+
+    /// Returns the position of the worker's newest heartbeat.
+    pub(super) fn heartbeat_position(&self) -> HeartbeatPosition {
+        HeartbeatPosition::new(self.shown_token, self.incarnation, self.sequence)
     }
 
     /// Returns `true` if no task may be running on the machine and none is queued for it.
--- a/crates/control/src/cluster/machine_heartbeat.rs
+++ b/crates/control/src/cluster/machine_heartbeat.rs
@@ -2,6 +2,7 @@
 //! not handled here.
 use super::{Lifecycle, Machine};
 use crate::api::Millis;
+use crate::fencing::HeartbeatPosition;
 use stonegw_wire::msg::Heartbeat;
 
 /// Whether the leader replies to a heartbeat.
@@ -28,13 +29,22 @@
     pub kind: HeartbeatKind,
 }
 
+/// How a heartbeat follows the newest one of its machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeartbeatOrder {
+    /// The same process of the worker sent it later.
+    Newer,
+    /// A process of the worker sent it that restarted without memory.
+    AfterRestart,
+}
+
 /// The changes that a heartbeat revealed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HeartbeatChanges {
     /// Whether this is the first heartbeat from the machine in this term.
     pub is_first: bool,
     /// Whether the worker began a new incarnation since its last heartbeat in this term: it
-    /// restarted, or its lease expired and it killed all tasks.
+    /// restarted, with or without memory, or its lease expired and it killed all tasks.
     pub new_incarnation: bool,
     /// Whether the tasks placed by an earlier leader also ended with the earlier incarnation.
     /// Meaningful only with `new_incarnation`.
@@ -50,22 +60,28 @@
         heartbeat: &Heartbeat,
         receipt: HeartbeatReceipt,
     ) -> Option<HeartbeatChanges> {
-        if (heartbeat.incarnation, heartbeat.sequence) <= (self.incarnation, self.sequence) {
+        let was_silent = self.is_silent(receipt.now, receipt.heartbeat_interval_s);
+        let Some(order) = self.order_heartbeat(heartbeat) else {
+            let shows_earlier_token = heartbeat.fencing_token < self.shown_token;
+            self.restart_suspected |= shows_earlier_token || was_silent;
             return None;
-        }
+        };
+        self.restart_suspected = false;
+        let has_restarted = order == HeartbeatOrder::AfterRestart;
+        let began_incarnation = heartbeat.incarnation > self.incarnation;
         let changes = HeartbeatChanges {
             is_first: self.last_heartbeat_at.is_none(),
-            new_incarnation: heartbeat.incarnation > self.incarnation
-                && self.last_heartbeat_at.is_some(),
+            new_incarnation: has_restarted
+                || (began_incarnation && self.last_heartbeat_at.is_some()),
             // A start command of an earlier leader may have reached either incarnation, unless the
-            // worker had already seen this leader's term in the earlier one.
-            includes_inherited: self.under_current_term,
+            // worker had already seen this leader's term in the earlier one. A worker that restarted
+            // has seen a token that is higher than that of any command.
+            includes_inherited: self.under_current_term || has_restarted,
         };
-        let was_silent = self.is_silent(receipt.now, receipt.heartbeat_interval_s);
         // The worker began a new incarnation although its heartbeats were answered: either the
         // replies were lost and its lease expired, or it restarted.
         let replies_were_lost =
-            changes.new_incarnation && self.commands.answered_heartbeats > 1 && !was_silent;
+            began_incarnation && self.commands.answered_heartbeats > 1 && !was_silent;
         if was_silent {
             // Failed deliveries before or during a silence say nothing about the present.
             self.commands.record_delivered(&self.id);
@@ -79,9 +95,10 @@
             // The worker has killed and forgotten all tasks, and a start command that was sent to
             // the earlier incarnation can no longer start one.
             log::warn!(
-                "machine {} began incarnation {}",
+                "machine {} began incarnation {}{}",
                 self.id,
-                heartbeat.incarnation
+                heartbeat.incarnation,
+                if has_restarted { " without memory" } else { "" }
             );
             self.commands.record_new_incarnation();
             self.cached_images.clear();
@@ -89,6 +106,22 @@
         Some(changes)
     }
 
+    /// Returns how a heartbeat follows the newest one, or `None` if it is not newer. That of a worker
+    /// that restarted without memory counts as newer only if the worker rejects all direct start
+    /// commands that were sent so far.
+    fn order_heartbeat(&self, heartbeat: &Heartbeat) -> Option<HeartbeatOrder> {
+        let position = HeartbeatPosition::of(heartbeat);
+        let newest = self.heartbeat_position();
+        if position <= newest {
+            return None;
+        }
+        if !position.is_of_restarted_worker(&newest) {
+            return Some(HeartbeatOrder::Newer);
+        }
+        (heartbeat.fencing_token > self.commands.start_token())
+            .then_some(HeartbeatOrder::AfterRestart)
+    }
+
     fn copy_reported_state(&mut self, heartbeat: &Heartbeat, now: Millis) {
         self.incarnation = heartbeat.incarnation;
         self.sequence = heartbeat.sequence;
--- a/crates/control/src/fencing.rs
+++ b/crates/control/src/fencing.rs
@@ -14,6 +14,45 @@
 //!
 //! Tokens are raised only while every node is known to run a version that reads them this way.
 use crate::replica::Replica;
+use stonegw_wire::msg::Heartbeat;
+
+/// The position of a heartbeat among all heartbeats of its machine: a newer heartbeat has a greater
+/// position. While a worker's process lives, its token, its incarnation and its sequence number
+/// never decrease. A process that restarted without memory begins again with the first incarnation,
+/// and its heartbeats count as newer once its token was raised above all that its predecessor
+/// showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct HeartbeatPosition {
+    fencing_token: u64,
+    incarnation: u64,
+    sequence: u64,
+}
+
+impl HeartbeatPosition {
+    /// Returns the position of the heartbeat with these numbers.
+    pub(crate) fn new(fencing_token: u64, incarnation: u64, sequence: u64) -> HeartbeatPosition {
+        HeartbeatPosition {
+            fencing_token,
+            incarnation,
+            sequence,
+        }
+    }
+
+    /// Returns the position of a heartbeat.
+    pub(crate) fn of(heartbeat: &Heartbeat) -> HeartbeatPosition {
+        HeartbeatPosition::new(
+            heartbeat.fencing_token,
+            heartbeat.incarnation,
+            heartbeat.sequence,
+        )
+    }
+
+    /// Returns whether this position, which is greater than `earlier`, is that of another process of
+    /// the worker: its numbers would have decreased otherwise.
+    pub(crate) fn is_of_restarted_worker(&self, earlier: &HeartbeatPosition) -> bool {
+        (self.incarnation, self.sequence) <= (earlier.incarnation, earlier.sequence)
+    }
+}
 
 impl Replica {
     /// Returns whether this node knows which term a token belongs to: the replica has read all
@@ -34,13 +73,16 @@
     ///
     /// Start commands of the leader may be on their way to the worker. If `may_raise`, the token is
     /// at least the revision of the newest cancellation that this node has read, so that the worker
-    /// rejects those of cancelled jobs.
+    /// rejects those of cancelled jobs. A worker without a token may have forgotten what it had seen
+    /// before, and gets the newest token, with which it rejects copies of commands that were carried
+    /// out before.
     pub(crate) fn renewal_token(&self, worker_token: u64, may_raise: bool) -> Option<u64> {
         let term = self.term()?;
         if worker_token > term && !self.is_token_of_term(worker_token, term) {
             return None;
         }
         let raised = match may_raise {
+            true if worker_token == 0 => self.revision,
             true => self.newest_read_cancellation(),
             false => 0,
         };
--- a/crates/control/src/leader/commands.rs
+++ b/crates/control/src/leader/commands.rs
@@ -69,18 +69,18 @@
     }
 
     /// Returns the fencing token of the commands that are sent to a machine now: the highest one of
-    /// this term that its worker has seen, or a higher one if a start command that may still arrive
-    /// is to be rejected.
+    /// this term that its worker has seen, or a higher one if the worker must reject commands that
+    /// were sent earlier.
     pub(super) fn command_token(&mut self, context: &LeaderContext, machine_id: &str) -> u64 {
         let Some(machine) = self.cluster.machines.get(machine_id) else {
             return self.term;
         };
         let token = self.term.max(machine.shown_token).max(machine.sent_token);
         let raised = context.raised_token.filter(|raised| *raised > token);
-        let Some(raised) = raised.filter(|_| machine.has_unwanted_start()) else {
+        let Some(raised) = raised.filter(|_| machine.needs_raised_token()) else {
             return token;
         };
-        log::debug!("machine {machine_id}: fencing token {token} -> {raised}, to reject a start");
+        log::debug!("machine {machine_id}: fencing token {token} -> {raised}");
         if let Some(mut machine) = self.cluster.machines.edit(machine_id) {
             machine.sent_token = raised;
         }
--- a/crates/control/src/leader/direct_commands.rs
+++ b/crates/control/src/leader/direct_commands.rs
@@ -38,12 +38,16 @@
         if batch.commands.is_empty() {
             return;
         }
-        let call = LeaderCall::DirectCommand(DirectCommand {
+        let command = DirectCommand {
             machine: machine_id.to_owned(),
             incarnation: machine.incarnation,
             fencing_token: batch.fencing_token,
             started_attempts: started_attempts(&batch.commands),
-        });
+        };
+        if !command.started_attempts.is_empty() {
+            machine.commands.record_start_sent(batch.fencing_token);
+        }
+        let call = LeaderCall::DirectCommand(command);
         let target = Target::Worker(machine.addr.clone().unwrap_or_default());
         let (path, body) = ("/do".into(), encode(&batch));
         let timeout_ms = DIRECT_COMMAND_TIMEOUT_MS;
@@ -106,6 +110,7 @@
         && !machine.is_silent(now, context.settings.heartbeat_interval_s)
         && !machine.via_store
         && !machine.is_unreachable()
+        && !machine.restart_suspected
 }
 
 fn has_due_command(machine: &Machine, context: &LeaderContext) -> bool {
--- a/crates/control/src/leader/heartbeats_tests.rs
+++ b/crates/control/src/leader/heartbeats_tests.rs
@@ -124,3 +124,79 @@
         assert_eq!(placement_count(&leader), 1);
     }
 }
+
+/// A leader whose machine, at heartbeat 10, holds a task that was started directly.
+fn leader_with_started_task(fixture: &mut LeaderFixture) -> Leader {
+    let mut leader = fixture.start_leader(TERM);
+    fixture.read_leader_key(TERM, RAISED_TOKEN);
+    fixture.raised_token = Some(RAISED_TOKEN);
+    fixture.deliver_heartbeat(&mut leader, heartbeat(10, TERM));
+    if let Some(mut machine) = leader.cluster.machines.edit(&machine_id(0)) {
+        machine.commands.record_start_sent(TERM);
+        machine.placements.push(Placement {
+            sent_directly: true,
+            ..Placement::new("run-1", 0, ATTEMPT, Phase::Running)
+        });
+    }
+    leader
+}
+
+/// A worker that restarted without memory would execute a copy of an earlier start command, which
+/// carries the first incarnation and a token that the worker does not remember. Its token is
+/// raised, and a heartbeat with the raised token proves that the tasks before the restart are gone.
+#[test]
+fn a_worker_that_restarted_without_memory_gets_a_raised_token() {
+    let mut fixture = LeaderFixture::new(FakeStore::default(), 8 * 1024, 8);
+    let mut leader = leader_with_started_task(&mut fixture);
+    let reply = fixture.deliver_heartbeat(&mut leader, heartbeat(1, 0));
+    assert_eq!(reply.map(|reply| reply.fencing_token), Some(RAISED_TOKEN));
+    assert_eq!(placement_count(&leader), 1, "it may be a late copy");
+    fixture.deliver_heartbeat(&mut leader, heartbeat(2, RAISED_TOKEN));
+    assert_eq!(placement_count(&leader), 0);
+    let machine = leader.cluster.machines.get(&machine_id(0));
+    let machine = machine.expect("known machine");
+    assert_eq!((machine.incarnation, machine.sequence), (1, 2));
+    assert!(!machine.restart_suspected);
+    // A late copy of a heartbeat from before the restart changes nothing.
+    fixture.deliver_heartbeat(&mut leader, heartbeat(11, TERM));
+    let machine = leader.cluster.machines.get(&machine_id(0));
+    assert!(machine.is_some_and(|machine| machine.sequence == 2));
+}
+
+/// A start command with the raised token may be on its way to a worker that restarted. The worker
+/// would execute it, so no heartbeat with that token proves that the task is gone.
+#[test]
+fn a_restart_proves_nothing_while_a_start_with_its_token_may_arrive() {
+    let mut fixture = LeaderFixture::new(FakeStore::default(), 8 * 1024, 8);
+    let mut leader = leader_with_started_task(&mut fixture);
+    fixture.deliver_heartbeat(&mut leader, heartbeat(1, 0));
+    if let Some(mut machine) = leader.cluster.machines.edit(&machine_id(0)) {
+        machine.commands.record_start_sent(RAISED_TOKEN);
+    }
+    fixture.deliver_heartbeat(&mut leader, heartbeat(2, RAISED_TOKEN));
+    assert_eq!(placement_count(&leader), 1);
+    // The next reply raises the token once more.
+    fixture.raised_token = Some(RAISED_TOKEN + 1);
+    fixture.read_leader_key(TERM, RAISED_TOKEN + 1);
+    let reply = fixture.deliver_heartbeat(&mut leader, heartbeat(3, RAISED_TOKEN));
+    assert_eq!(
+        reply.map(|reply| reply.fencing_token),
+        Some(RAISED_TOKEN + 1)
+    );
+    fixture.deliver_heartbeat(&mut leader, heartbeat(4, RAISED_TOKEN + 1));
+    assert_eq!(placement_count(&leader), 0);
+}
+
+/// A worker whose first heartbeats after a restart are lost may report with the old token, because
+/// it executed a copy of a command. Its heartbeats look like late copies, but the machine is silent
+/// otherwise.
+#[test]
+fn an_old_heartbeat_of_a_silent_machine_raises_its_token() {
+    let mut fixture = LeaderFixture::new(FakeStore::default(), 8 * 1024, 8);
+    let mut leader = leader_with_started_task(&mut fixture);
+    let reply = fixture.deliver_heartbeat(&mut leader, heartbeat(2, TERM));
+    assert_eq!(reply.map(|reply| reply.fencing_token), Some(TERM));
+    fixture.now_ms += (fixture.settings.worker_lease_s * 1e3) as Millis;
+    let reply = fixture.deliver_heartbeat(&mut leader, heartbeat(3, TERM));
+    assert_eq!(reply.map(|reply| reply.fencing_token), Some(RAISED_TOKEN));
+}
--- a/crates/control/src/node/leader_probes.rs
+++ b/crates/control/src/node/leader_probes.rs
@@ -44,15 +44,22 @@
 
 impl LeaderProbes {
     /// Records the heartbeat of a worker that can only be served without the leader, on a node with
-    /// this many peers. Returns `true` if the worker is to probe for the leader.
-    pub(super) fn try_start(&mut self, machine: &str, now: Millis, peers: usize) -> bool {
+    /// this many peers.
+    pub(super) fn record_heartbeat(&mut self, machine: &str, now: Millis, peers: usize) {
         self.served_since
             .retain(|_, since| now < *since + 2 * LEADER_PROBE_DELAY_MS);
         self.record_return(machine, now);
         self.record_successful_probes(now, peers);
+        self.served_since.entry(machine.to_owned()).or_insert(now);
+    }
+
+    /// Returns `true` if the worker whose heartbeat was recorded is to probe for the leader.
+    pub(super) fn try_start(&mut self, machine: &str, now: Millis) -> bool {
         let max_batch = self.max_batch();
         let batch = self.count_recent_probes(now);
-        let since = self.served_since.entry(machine.to_owned()).or_insert(now);
+        let Some(since) = self.served_since.get_mut(machine) else {
+            return false;
+        };
         let served_long_enough = now >= *since + LEADER_PROBE_DELAY_MS;
         if !served_long_enough || now < self.next_probe_at || batch >= max_batch {
             return false;
@@ -95,8 +102,7 @@
         }
     }
 
-    /// Returns the maximum number of probes in one batch. The machine whose heartbeat is being
-    /// handled counts as served only if it was served before.
+    /// Returns the maximum number of probes in one batch.
     fn max_batch(&self) -> usize {
         match self.path {
             LeaderPath::Open => {
--- a/crates/control/src/node/store_relay.rs
+++ b/crates/control/src/node/store_relay.rs
@@ -9,6 +9,7 @@
 };
 use super::Node;
 use crate::api::{CallResult, Millis};
+use crate::fencing::HeartbeatPosition;
 use crate::settings::Settings;
 use crate::store_limits::TransactionSize;
 use std::collections::BTreeMap;
@@ -40,7 +41,7 @@
     /// Replaces the heartbeat by a newer one; ignores a heartbeat that is not newer.
     fn update(&mut self, newer: Heartbeat) {
         let known = &self.heartbeat;
-        if (newer.incarnation, newer.sequence) <= (known.incarnation, known.sequence) {
+        if HeartbeatPosition::of(&newer) <= HeartbeatPosition::of(known) {
             return;
         }
         self.needs_write |= known.tasks != newer.tasks || known.incarnation != newer.incarnation;
@@ -151,10 +152,12 @@
     ) {
         let now = self.now.monotonic_ms;
         let peers = self.settings.peers.len();
-        if self
-            .leader_probes
-            .try_start(&heartbeat.machine_id, now, peers)
-        {
+        let machine_id = &heartbeat.machine_id;
+        self.leader_probes.record_heartbeat(machine_id, now, peers);
+        // A worker without a token rejects no command. If it restarted, it must get a token before
+        // a copy of an earlier command arrives.
+        let has_token = heartbeat.fencing_token > 0;
+        if has_token && self.leader_probes.try_start(machine_id, now) {
             return self.redirect_worker(request_id, Some(leader_node));
         }
         // Leases are renewed only while the replica is recent enough that tasks cancelled through
--- a/crates/control/src/node/store_relay_tests.rs
+++ b/crates/control/src/node/store_relay_tests.rs
@@ -1,9 +1,10 @@
 use super::*;
 use crate::api::Action;
 use crate::node::calls::NodeCall;
-use crate::node::fixture_tests::{node_serving_without_leader, settings};
-use crate::records::StoredRecord;
+use crate::node::fixture_tests::{heartbeat, node_serving_without_leader, settings};
+use crate::records::{LeaderRecord, StoredRecord};
 use std::collections::HashSet;
+use stonegw_constants::LEADER_PROBE_DELAY_MS;
 use stonegw_wire::msg::{decode, json_size_bytes, Write};
 
 /// Returns the transaction that is sent in this turn, if any, and the call for it.
@@ -101,3 +102,32 @@
         .iter()
         .all(|write| !first.contains(&written_key(write))));
 }
+
+/// A worker without a token may have restarted without memory. It must get a token before a copy of
+/// an earlier command arrives, and not be sent to look for the leader.
+#[test]
+fn a_worker_without_a_token_does_not_probe_for_the_leader() {
+    let served_for_ms = LEADER_PROBE_DELAY_MS;
+    for (fencing_token, status) in [(1, 421), (0, 200)] {
+        let mut node = node_serving_without_leader(settings(60.0, 8), 1);
+        let leader = LeaderRecord {
+            node: "node-1".into(),
+            nonce: 1,
+            lease: 1,
+        };
+        node.replica.record_own_election(leader, 1);
+        node.cancellation_watermark.record_read(served_for_ms);
+        node.now.monotonic_ms = served_for_ms;
+        let heartbeat = Heartbeat {
+            fencing_token,
+            ..heartbeat("host-0")
+        };
+        node.handle_heartbeat_via_store(7, heartbeat, "node-1".into());
+        let is_expected =
+            |action: &Action| matches!(action, Action::Reply { status: s, .. } if *s == status);
+        assert!(
+            node.outbox.actions.iter().any(is_expected),
+            "token {fencing_token}"
+        );
+    }
+}
--- a/crates/testkit/src/sim/command.rs
+++ b/crates/testkit/src/sim/command.rs
@@ -82,11 +82,16 @@
         let Ok(batch) = decode::<CommandBatch>(body) else {
             return;
         };
-        let worker = self.workers.get(id);
-        if worker.is_some_and(|worker| worker.accepts_direct_commands(&batch)) {
-            self.append_log(format!("{id} executes a duplicate of a direct command"));
-            self.execute_commands(id, batch.commands);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let is_accepted = worker.accepts_direct_commands(&batch);
+        worker.observe_fencing_token(batch.fencing_token);
+        if !is_accepted {
+            return self.append_log(format!("{id} rejects a duplicate of a direct command"));
         }
+        self.append_log(format!("{id} executes a duplicate of a direct command"));
+        self.execute_commands(id, batch.commands);
     }
 
     /// Executes commands at a worker in order.
--- a/crates/testkit/src/sim/fault.rs
+++ b/crates/testkit/src/sim/fault.rs
@@ -64,6 +64,17 @@
         }
     }
 
+    /// Restarts a worker's process at once without any memory: it begins again with the first
+    /// incarnation and has lost its tasks, its images and its fencing token.
+    pub fn reset_machine(&mut self, id: &str) {
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.reset(now);
+            self.append_log(format!("{id} restarts without memory"));
+        }
+        self.schedule_worker_wakeup(id, now);
+    }
+
     /// Makes a task exit with an error on every machine that holds it.
     pub fn fail_task(&mut self, task_id: &str) {
         for machine_id in self.cluster().machines_holding_task(task_id) {
--- a/crates/testkit/src/stand_ins/worker.rs
+++ b/crates/testkit/src/stand_ins/worker.rs
@@ -156,6 +156,16 @@
         self.has_unreported_changes = true;
     }
 
+    /// Forgets everything and begins again with the first incarnation, like a new worker.
+    pub(crate) fn reset(&mut self, now: Ms) {
+        self.begin_new_incarnation(now);
+        self.incarnation = 1;
+        self.sequence = 0;
+        self.fencing_token = 0;
+        self.image_ready_at.clear();
+        self.next_heartbeat_at = now;
+    }
+
     /// Makes the machine and its tasks hang for `duration`.
     pub(crate) fn hang(&mut self, now: Ms, duration: Ms) {
         self.hung_until = now + duration;
--- a/crates/testkit/src/trace/interpreter.rs
+++ b/crates/testkit/src/trace/interpreter.rs
@@ -226,6 +226,7 @@
         "evict-with-notice" => Simulation::schedule_eviction,
         "evict" => |sim, id, _| sim.evict_machine(id),
         "restart-worker" => |sim, id, _| sim.restart_machine(id),
+        "reset-worker" => |sim, id, _| sim.reset_machine(id),
         "new-incarnation" => |sim, id, _| sim.begin_new_incarnation(id),
         "eviction-notice" => Simulation::set_eviction_notice,
         "fail-task" => {
--- a/crates/testkit/tests/traces.rs
+++ b/crates/testkit/tests/traces.rs
@@ -173,4 +173,12 @@
     cancelled_start_is_rejected,
     cancelled_start_held_over_leader_change,
     cancelled_gang_start_held_in_zone_partition,
+    duplicate_starts,
+    duplicate_starts_after_leader_restart,
+    duplicate_starts_after_all_nodes_restart,
+    duplicate_starts_after_worker_restart,
+    duplicate_start_of_moved_task_after_worker_reset,
+    duplicate_start_of_cancelled_task_after_worker_reset,
+    duplicate_starts_after_worker_reset_and_leader_restart,
+    duplicate_start_after_worker_reset_in_partition,
 );
--- a/crates/wire/src/msg/worker.rs
+++ b/crates/wire/src/msg/worker.rs
@@ -94,8 +94,8 @@
     /// expires.
     #[serde(rename = "tenure")]
     pub incarnation: u64,
-    /// Sequence number. Of two heartbeats, the one with the larger (incarnation, sequence) is
-    /// newer.
+    /// Sequence number. Of two heartbeats of one process, the one with the larger (incarnation,
+    /// sequence) is newer.
     #[serde(rename = "tally")]
     pub sequence: u64,
     /// Highest fencing token that the worker has received.
