Stop cancelled tasks that an unrecognised restart shows; the window that no controller closes

Cause: a worker that restarted without memory may execute a copy of a start before it has reported at all. Its heartbeats then look like late copies, and the reply carried no commands, so a cancelled task ran until the restart was recognised.

Change: the reply to a heartbeat that is not newer stops the tasks of cancelled jobs that it shows, as the reply of a leader that is still loading does. The stand-in's reset keeps the images, which is the harder case.

--- a/crates/control/src/leader/fixture_tests.rs
+++ b/crates/control/src/leader/fixture_tests.rs
@@ -5,7 +5,7 @@
 use crate::cluster::JobState;
 use crate::context::LeaderContext;
 use crate::outbox::Outbox;
-use crate::records::{LeaderRecord, MachineGroupRecord, StoredRecord, LEADER_KEY};
+use crate::records::{JobRecord, LeaderRecord, MachineGroupRecord, StoredRecord, LEADER_KEY};
 use crate::replica::Replica;
 use crate::settings::{Settings, TokenBucket};
 use crate::store_limits::StoreLimits;
@@ -144,6 +144,22 @@
     format!("host-{number:06}")
 }
 
+/// Returns a heartbeat of the first machine, without tasks.
+pub fn heartbeat(sequence: u64, fencing_token: u64) -> Heartbeat {
+    Heartbeat {
+        machine_id: machine_id(0),
+        addr: "10.0.0.1:9000".into(),
+        machine_type: "small".into(),
+        zone: "a".into(),
+        is_spot: false,
+        incarnation: 1,
+        sequence,
+        fencing_token,
+        eviction_in_s: None,
+        tasks: vec![],
+    }
+}
+
 /// The context of a leader's turn at the fixture's present time. It is a macro so that it borrows
 /// only the fields that it names.
 macro_rules! context {
@@ -258,6 +274,12 @@
         leader.handle_heartbeat(&mut context, heartbeat)
     }
 
+    /// Makes the replica hold a cancelled job.
+    pub fn read_cancelled_job(&mut self, id: &str, revision: u64) {
+        let record = JobRecord::submitted(&job_spec(id, 1), 0).cancelled();
+        self.replica.put_job(id, record, revision);
+    }
+
     /// Makes the replica hold the leader key of a term, with all changes up to a revision.
     pub fn read_leader_key(&mut self, term: u64, revision: u64) {
         let record = LeaderRecord {
--- a/crates/control/src/leader/heartbeats.rs
+++ b/crates/control/src/leader/heartbeats.rs
@@ -19,31 +19,26 @@
         self.cluster.now_ms = context.now.monotonic_ms;
         if !context.watermark_current {
             // The heartbeat shows that the machine is alive, but it gets no reply.
-            if self.stage != Stage::Loading {
-                let machine_id = heartbeat.machine_id.clone();
-                if self.apply_heartbeat(context, heartbeat, HeartbeatKind::Unanswered) {
-                    self.process_exits(context, &machine_id);
-                }
+            if self.stage != Stage::Loading
+                && self.apply_heartbeat(context, &heartbeat, HeartbeatKind::Unanswered)
+            {
+                self.process_exits(context, &heartbeat.machine_id);
             }
             return None;
         }
-        let machine_id = heartbeat.machine_id.clone();
-        let worker_token = heartbeat.fencing_token;
-        if self.stage == Stage::Loading {
-            // Loading depends on the store, but tasks of cancelled jobs are stopped without waiting
-            // for the store.
-            return Some(CommandBatch {
-                fencing_token: self.term.max(worker_token),
-                incarnation: None,
-                commands: context.replica.stop_commands(&heartbeat),
-            });
+        if self.stage != Stage::Loading {
+            if let Some(batch) = self.commands_for_heartbeat(context, &heartbeat) {
+                return Some(batch);
+            }
         }
-        let commands = self.commands_for_heartbeat(context, heartbeat);
-        Some(commands.unwrap_or_else(|| CommandBatch {
-            fencing_token: self.command_token(context, &machine_id).max(worker_token),
+        // Tasks of cancelled jobs are stopped without the machine's state: loading depends on the
+        // store, and a heartbeat that is not newer may come from a worker that has restarted.
+        let command_token = self.command_token(context, &heartbeat.machine_id);
+        Some(CommandBatch {
+            fencing_token: command_token.max(heartbeat.fencing_token),
             incarnation: None,
-            commands: vec![],
-        }))
+            commands: context.replica.stop_commands(&heartbeat),
+        })
     }
 
     /// Applies a heartbeat and returns the commands that are due, or `None` if it is not newer than
@@ -51,21 +46,21 @@
     fn commands_for_heartbeat(
         &mut self,
         context: &mut LeaderContext,
-        heartbeat: Heartbeat,
+        heartbeat: &Heartbeat,
     ) -> Option<CommandBatch> {
-        let machine_id = heartbeat.machine_id.clone();
+        let machine_id = heartbeat.machine_id.as_str();
         if !self.apply_heartbeat(context, heartbeat, HeartbeatKind::Answered) {
             return None;
         }
-        if let Some(mut machine) = self.cluster.machines.edit(&machine_id) {
+        if let Some(mut machine) = self.cluster.machines.edit(machine_id) {
             machine.via_store = false;
         }
-        self.process_exits(context, &machine_id);
+        self.process_exits(context, machine_id);
         if self.stage == Stage::Active {
             self.scheduler
-                .dispatch_queued(&mut self.cluster, context, &machine_id);
+                .dispatch_queued(&mut self.cluster, context, machine_id);
         }
-        Some(self.collect_commands(context, &machine_id, CommandPath::HeartbeatReply))
+        Some(self.collect_commands(context, machine_id, CommandPath::HeartbeatReply))
     }
 
     /// Applies a heartbeat to the cluster state. Returns `false` if it is no newer than the last
@@ -73,7 +68,7 @@
     pub(super) fn apply_heartbeat(
         &mut self,
         context: &mut LeaderContext,
-        heartbeat: Heartbeat,
+        heartbeat: &Heartbeat,
         kind: HeartbeatKind,
     ) -> bool {
         let now = context.now.monotonic_ms;
@@ -95,7 +90,7 @@
         let Some(mut machine) = self.cluster.machines.edit(id) else {
             return false;
         };
-        let Some(news) = machine.record_heartbeat(&heartbeat, receipt) else {
+        let Some(news) = machine.record_heartbeat(heartbeat, receipt) else {
             return false;
         };
         drop(machine);
@@ -120,7 +115,7 @@
         match decode::<Heartbeat>(body) {
             Ok(heartbeat) if heartbeat.machine_id == machine_id => {
                 if self.observe_token(context, heartbeat.fencing_token) {
-                    self.apply_heartbeat(context, heartbeat, HeartbeatKind::Unanswered);
+                    self.apply_heartbeat(context, &heartbeat, HeartbeatKind::Unanswered);
                     self.process_exits(context, machine_id);
                 }
                 true
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -246,12 +246,12 @@
             // relayed it, and shows only that the machine existed. It is still applied: after a
             // failover, the machines of a partitioned zone have no other way to show that they
             // exist.
-            let machine_id = heartbeat.machine_id.clone();
-            if self.apply_heartbeat(context, heartbeat, HeartbeatKind::Unanswered) {
-                if let Some(mut machine) = self.cluster.machines.edit(&machine_id) {
+            if self.apply_heartbeat(context, &heartbeat, HeartbeatKind::Unanswered) {
+                let machine_id = heartbeat.machine_id.as_str();
+                if let Some(mut machine) = self.cluster.machines.edit(machine_id) {
                     machine.via_store = true;
                 }
-                self.process_exits(context, &machine_id);
+                self.process_exits(context, machine_id);
             }
         }
     }
--- a/crates/control/src/node/fixture_tests.rs
+++ b/crates/control/src/node/fixture_tests.rs
@@ -1,5 +1,6 @@
 //! Fixtures shared by the tests of the node.
 use super::Node;
+use crate::records::LeaderRecord;
 use crate::settings::Settings;
 use crate::test_support::single_node_settings;
 use stonegw_wire::msg::Heartbeat;
@@ -29,6 +30,16 @@
     }
 }
 
+/// Makes the node's replica hold the leader key of the peer `node-1`.
+pub(super) fn follow_leader(node: &mut Node, term: u64) {
+    let record = LeaderRecord {
+        node: "node-1".into(),
+        nonce: 1,
+        lease: 1,
+    };
+    node.replica.record_own_election(record, term);
+}
+
 /// Returns a node with a live replica that serves this many machines without the leader.
 pub(super) fn node_serving_without_leader(settings: Settings, machines: usize) -> Node {
     let mut node = Node::new(settings, 1);
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -175,4 +175,5 @@
 unit_mutant control a_restart_proves_nothing cluster/machine_heartbeat.rs 's/heartbeat\.fencing_token > self\.commands\.start_token\(\)/true/'
 unit_mutant control an_old_heartbeat_of_a_silent_machine cluster/machine_heartbeat.rs 's/shows_earlier_token \|\| was_silent/shows_earlier_token/'
 unit_mutant control a_worker_without_a_token_does_not_probe node/store_relay.rs 's/has_token && self\.leader_probes/self.leader_probes/'
+unit_mutant control an_old_heartbeat_stops_tasks leader/heartbeats.rs 's/commands: context\.replica\.stop_commands\(&heartbeat\)/commands: vec![]/'
 exit $failed
--- a/crates/testkit/src/sim/fault.rs
+++ b/crates/testkit/src/sim/fault.rs
@@ -65,7 +65,7 @@
     }
 
     /// Restarts a worker's process at once without any memory: it begins again with the first
-    /// incarnation and has lost its tasks, its images and its fencing token.
+    /// incarnation and has lost its tasks and its fencing token.
     pub fn reset_machine(&mut self, id: &str) {
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/testkit/src/stand_ins/worker.rs
+++ b/crates/testkit/src/stand_ins/worker.rs
@@ -156,13 +156,13 @@
         self.has_unreported_changes = true;
     }
 
-    /// Forgets everything and begins again with the first incarnation, like a new worker.
+    /// Forgets everything and begins again with the first incarnation, like a new worker. The images
+    /// are still on the machine.
     pub(crate) fn reset(&mut self, now: Ms) {
         self.begin_new_incarnation(now);
         self.incarnation = 1;
         self.sequence = 0;
         self.fencing_token = 0;
-        self.image_ready_at.clear();
         self.next_heartbeat_at = now;
     }
 
--- a/crates/testkit/src/trace/mod.rs
+++ b/crates/testkit/src/trace/mod.rs
@@ -63,7 +63,7 @@
 //! | `T eviction-notice MACHINE S` | From now on the worker reports an eviction in S seconds, but none follows. |
 //! | `T new-incarnation MACHINE` | The worker kills and forgets all its tasks and begins a new incarnation. |
 //! | `T restart-worker MACHINE` | The worker's process restarts at once: a new incarnation, without images. |
-//! | `T reset-worker MACHINE` | The worker's process restarts at once without any memory: the first incarnation again, no fencing token, no tasks and no images. |
+//! | `T reset-worker MACHINE` | The worker's process restarts at once without any memory: the first incarnation again, no fencing token and no tasks. |
 //! | `T fail-task TASK` | The task exits with an error. |
 //! | `T partition-machine MACHINE S` | The machine's heartbeats and the replies to them are lost, and direct calls to it arrive afterwards. |
 //! | `T unreachable MACHINE S` | The machine's heartbeats arrive, but replies don't reach it, and commands reach it afterwards. |
