--- a/crates/control/src/node/frames.rs
+++ b/crates/control/src/node/frames.rs
@@ -93,17 +93,23 @@
         self.send_hello(Link::Outbound(peer), ping_sent_at, revision);
     }
 
+    /// Returns the highest term that this node knows, or a token whose term it has not read: the
+    /// term of a leader that this node does not know yet may be the highest.
+    fn highest_term_to_announce(&self) -> u64 {
+        let known_term = self.replica.highest_term;
+        match self.knows_observed_tokens() {
+            true => known_term,
+            false => known_term.max(self.highest_observed_token),
+        }
+    }
+
     /// Sends a hello. `ping_sent_at` is this node's time in a ping; in an answer, it is the time
     /// that the peer's ping carried.
     fn send_hello(&mut self, to: Link, ping_sent_at: Millis, revision: u64) {
         let is_store_reachable =
             self.replica_sync.is_live() && !self.store_availability.is_failing();
         let hello = Hello {
-            term: self
-                .replica
-                .highest_term
-                .max(self.highest_observed_token)
-                .into(),
+            term: self.highest_term_to_announce().into(),
             process_nonce: self.incarnation.into(),
             ping_sent_at: ping_sent_at.into(),
             jobs_revision: revision.into(),
--- a/crates/control/src/node/heartbeats_tests.rs
+++ b/crates/control/src/node/heartbeats_tests.rs
@@ -134,3 +134,29 @@
     assert!(may_renew_at(announced_at + lag_ms));
     assert!(!may_renew_at(announced_at + lag_ms + 1));
 }
+
+/// A raised token that this node has read tells its peers nothing. A leader that has not read it yet
+/// would stop, and could not go on during an outage of the store. A token that this node has not read
+/// may be a later leader's, so its peers must hear of it.
+#[test]
+fn hellos_announce_only_tokens_of_unknown_terms() {
+    let mut node = node_with_a_peer();
+    tick(&mut node, 1_000);
+    follow_leader(&mut node, 10);
+    node.replica.revision = 20;
+    for (observed_token, announced) in [(15, 10), (20, 10), (21, 21)] {
+        node.observe_token(observed_token);
+        node.handle_link_up(0);
+        let hello = std::mem::take(&mut node.outbox.actions)
+            .into_iter()
+            .find_map(|action| match action {
+                Action::SendFrame {
+                    frame: Frame::Hello(hello),
+                    ..
+                } => Some(hello),
+                _ => None,
+            });
+        let term = hello.map(|hello| hello.term.get());
+        assert_eq!(term, Some(announced), "observed token {observed_token}");
+    }
+}
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -176,4 +176,5 @@
 unit_mutant control an_old_heartbeat_of_a_silent_machine cluster/machine_heartbeat.rs 's/shows_earlier_token \|\| was_silent/shows_earlier_token/'
 unit_mutant control a_worker_without_a_token_does_not_probe node/store_relay.rs 's/has_token && self\.leader_probes/self.leader_probes/'
 unit_mutant control an_old_heartbeat_stops_tasks leader/heartbeats.rs 's/commands: context\.replica\.stop_commands\(&heartbeat\)/commands: vec![]/'
+unit_mutant control hellos_announce_only_tokens_of_unknown_terms node/frames.rs 's/match self\.knows_observed_tokens\(\) \{/match false {/'
 exit $failed
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -41,7 +41,8 @@
 )]
 #[repr(C)]
 pub struct Hello {
-    /// The highest term or fencing token that the sender knows.
+    /// The highest term that the sender knows, or a higher fencing token whose term it does not
+    /// know.
     pub term: U64,
     /// Random number that distinguishes this process from earlier processes of the same node.
     pub process_nonce: U64,
