mutants.sh: a pattern follows the formatter's line break

The formatter broke the line of watermark_current; the guard of a_pause_blocks_lease_renewal_until_a_read is found and caught again.

--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -146,7 +146,7 @@
 mutant pause_clock_jumps expect "pause.rs" 's/gap >= PROCESS_PAUSE_THRESHOLD_MS/gap >= PROCESS_PAUSE_THRESHOLD_MS * 1000/'
 mutant small_jobs_beside_a_large_array expect "scheduling/first_fit.rs" 's/backlog: backlog_size\(job\),/backlog: 0,/'
 unit_mutant control unconfirmed_leader_only_renews_its_lease leader/mod.rs 's/if !context\.leadership_confirmed \{/if false {/'
-unit_mutant control a_pause_blocks_lease_renewal_until_a_read node/heartbeats.rs 's/self\.has_synced_since_pause\(\) && //'
+unit_mutant control a_pause_blocks_lease_renewal_until_a_read node/heartbeats.rs 's/self\.has_synced_since_pause\(\)\s+&& //'
 unit_mutant control run_times_that_include_a_pause_are_not_recorded leader/exits.rs 's/ && !placement\.run_time_unknown//'
 unit_mutant control a_pause_counts_toward_no_timeout leader/resume.rs 's/job\.deadline_missed \|= .*\n/\n/'
 unit_mutant control broken_jobs_drain_no_machine leader/task_failures.rs 's/evidence < FAULTY_MACHINE_EVIDENCE/evidence < 2/'
