Heartbeats relayed through the store raise no suspicion of a restart

Cause: after a partition the records of the store are read again and again with heartbeats of an earlier term.

Change: only a heartbeat that the worker itself sends raises the suspicion.

Test: an_old_relayed_heartbeat_raises_no_suspicion.

--- a/crates/control/src/cluster/machine_heartbeat.rs
+++ b/crates/control/src/cluster/machine_heartbeat.rs
@@ -62,8 +62,10 @@
     ) -> Option<HeartbeatChanges> {
         let was_silent = self.is_silent(receipt.now, receipt.heartbeat_interval_s);
         let Some(order) = self.order_heartbeat(heartbeat) else {
+            // Records of the store hold heartbeats from before, which say nothing about the present.
             let shows_earlier_token = heartbeat.fencing_token < self.shown_token;
-            self.restart_suspected |= shows_earlier_token || was_silent;
+            self.restart_suspected |=
+                receipt.kind == HeartbeatKind::Answered && (shows_earlier_token || was_silent);
             return None;
         };
         self.restart_suspected = false;
--- a/crates/control/src/leader/fixture_tests.rs
+++ b/crates/control/src/leader/fixture_tests.rs
@@ -274,6 +274,13 @@
         leader.handle_heartbeat(&mut context, heartbeat)
     }
 
+    /// Makes the replica hold a heartbeat that another node relayed through the store, and runs a
+    /// turn.
+    pub fn relay_heartbeat(&mut self, leader: &mut Leader, heartbeat: Heartbeat) {
+        self.replica.relayed_heartbeats.push(heartbeat);
+        self.paths_sent_in_turn(leader, true);
+    }
+
     /// Makes the replica hold a cancelled job.
     pub fn read_cancelled_job(&mut self, id: &str, revision: u64) {
         let record = JobRecord::submitted(&job_spec(id, 1), 0).cancelled();
--- a/crates/control/src/leader/heartbeats_tests.rs
+++ b/crates/control/src/leader/heartbeats_tests.rs
@@ -187,6 +187,17 @@
     assert_eq!(reply.map(|reply| reply.fencing_token), Some(RAISED_TOKEN));
 }
 
+/// Records of the store hold heartbeats from an earlier term long after it. If they made the leader
+/// suspect restarts, it would send no direct commands to healthy machines.
+#[test]
+fn an_old_relayed_heartbeat_raises_no_suspicion() {
+    let mut fixture = LeaderFixture::new(FakeStore::default(), 8 * 1024, 8);
+    let mut leader = leader_with_started_task(&mut fixture);
+    fixture.relay_heartbeat(&mut leader, heartbeat(9, TERM - 1));
+    let machine = leader.cluster.machines.get(&machine_id(0));
+    assert!(machine.is_some_and(|machine| !machine.restart_suspected && !machine.via_store));
+}
+
 /// A worker that restarted may already have executed a copy of a start command when its heartbeats
 /// still look like late copies.
 #[test]
--- a/crates/testkit/mutants.sh
+++ b/crates/testkit/mutants.sh
@@ -175,8 +175,9 @@
 mutant duplicate_start_of_moved_task_after_worker_reset_in_partition ran_twice "fencing.rs" 's/else if worker_token == 0 \{/else if false {/'
 unit_mutant control a_worker_that_restarted_without_memory cluster/machine_heartbeat.rs 's/HeartbeatPosition::of\(heartbeat\);/HeartbeatPosition::new(0, heartbeat.incarnation, heartbeat.sequence);/'
 unit_mutant control a_restart_proves_nothing cluster/machine_heartbeat.rs 's/heartbeat\.fencing_token > self\.commands\.start_token\(\)/true/'
-unit_mutant control an_old_heartbeat_of_a_silent_machine cluster/machine_heartbeat.rs 's/shows_earlier_token \|\| was_silent/shows_earlier_token/'
+unit_mutant control an_old_heartbeat_of_a_silent_machine cluster/machine_heartbeat.rs 's/\(shows_earlier_token \|\| was_silent\)/shows_earlier_token/'
 unit_mutant control a_worker_without_a_token_does_not_probe node/store_relay.rs 's/has_token && self\.leader_probes/self.leader_probes/'
 unit_mutant control an_old_heartbeat_stops_tasks leader/heartbeats.rs 's/commands: context\.replica\.stop_commands\(&heartbeat\)/commands: vec![]/'
 unit_mutant control hellos_announce_only_tokens_of_unknown_terms node/frames.rs 's/match self\.knows_observed_tokens\(\) \{/match false {/'
+unit_mutant control an_old_relayed_heartbeat_raises_no_suspicion cluster/machine_heartbeat.rs 's/receipt\.kind == HeartbeatKind::Answered && //'
 exit $failed
